--- a/control/src/main/kotlin/marigoldward/control/ControlProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/ControlProgram.kt
@@ -60,13 +60,13 @@
             val distribution = Duty.start<DistributionUpdate>("distribution", DISTRIBUTION_RING_EVENTS) {
                 hub.publish(it.last())
             }
-            val links = PeerLinks.open(settings.id, settings.peers, identity)
+            val links = PeerLinks(settings.id, identity, settings.peers::get) { 0 }
             val replica =
                 ReplicaDuty(store, ReplicationTiming.DEFAULT, System.nanoTime(), outputs(store, links, distribution))
             val duty = Duty.start("replica", RING_EVENTS, replica::handle)
-            val timer = startTimers(store, links, duty, hub)
+            val timer = startTimers(settings, store, links, duty, hub)
             val services = listOf(
-                PeerService(settings.peers.keys, duty).service,
+                PeerService(settings.peers::containsKey, duty, replica::published) { _, _ -> }.service,
                 ControlService(duty, hub).service,
                 hub.service,
             )
@@ -109,6 +109,7 @@
         )
 
         private fun startTimers(
+            settings: ControlSettings,
             store: ReplicaStore,
             links: PeerLinks,
             duty: Duty<ReplicaDutyEvent>,
@@ -118,7 +119,7 @@
             timer.subscribe(TICK_MILLIS) { duty.offer(ReplicaDutyEvent.Tick) }
             timer.subscribe(EXPIRY_PERIOD_MILLIS, hub::dropExpired)
             if (store.recovered.snapshot.point.members.all.isEmpty()) {
-                timer.subscribe(JOIN_PERIOD_MILLIS) { links.announce(store.replica) }
+                timer.subscribe(JOIN_PERIOD_MILLIS) { links.announce(store.replica, null, settings.peers.keys) }
             }
             return timer
         }
--- /dev/null
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -0,0 +1,153 @@
+package marigoldward.control.cluster
+
+import marigoldward.control.directory.DirectoryDuty
+import marigoldward.control.feed.EntryFeed
+import marigoldward.control.peer.PeerLinks
+import marigoldward.control.peer.PeerService
+import marigoldward.control.replica.ReplicaDuty
+import marigoldward.control.replica.ReplicaDutyEvent
+import marigoldward.control.routes.RouteStore
+import marigoldward.control.storage.ReplicaStore
+import marigoldward.core.control.ControlState
+import marigoldward.core.model.InstanceId
+import marigoldward.core.replication.MembershipPlanner
+import marigoldward.core.replication.ReplicaId
+import marigoldward.core.replication.ReplicaMessage
+import marigoldward.core.replication.ReplicationTiming
+import marigoldward.core.routes.RouteDocumentReader
+import marigoldward.support.directory.DirectorySource
+import marigoldward.support.duty.Duty
+import marigoldward.support.log.EventLog
+import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.TimerService
+import marigoldward.wire.peer.JoinReply
+import marigoldward.wire.rpc.ClusterIdentity
+import marigoldward.wire.rpc.RpcServer
+import java.net.InetSocketAddress
+
+/** One running control instance of a cluster that finds its members by itself. */
+public class ClusterProgram private constructor(
+    private val settings: ClusterSettings,
+    private val store: ReplicaStore,
+    reader: RouteDocumentReader,
+    directorySource: DirectorySource,
+) : AutoCloseable {
+    private val identity = ClusterIdentity(settings.clusterId, settings.key)
+    private val timer = TimerService.start()
+    private val feed: EntryFeed = EntryFeed(settings.dataCentre) { replica.published }
+    private val links = PeerLinks(settings.ip, identity, settings::rpcAddressOrNull, feed::entriesToTell)
+    private val replica: ReplicaDuty =
+        ReplicaDuty(
+            store,
+            ReplicationTiming.PROMPT,
+            System.nanoTime(),
+            ReplicaOutputs(),
+            MembershipPlanner.forLosses(settings.lostInstances),
+        )
+    private val duty = Duty.start("replica", RING_EVENTS, replica::handle)
+    private val directory = DirectoryDuty(directorySource, feed::directoryRead)
+
+    @Volatile
+    private var seeds = settings.seedInstances
+
+    /** The members as told by an instance that is one; used while this one is none. */
+    @Volatile
+    private var told: JoinReply? = null
+
+    /** The operators' configurations. */
+    public val routes: RouteStore = RouteStore(duty, reader)
+
+    private val peers = PeerService(::isPeer, duty, { replica.published }, feed::entriesTold)
+    private val server =
+        RpcServer.start(
+            InetSocketAddress(settings.ip.text, settings.rpcPort),
+            identity,
+            listOf(peers.service, feed.service),
+        )
+
+    /** The instance that leads as far as is known here, or null. */
+    public val leader: InstanceId?
+        get() = replica.published.leader ?: told?.leader
+
+    /** Uses [seeds] from now on. */
+    public fun changeSeeds(seeds: List<InstanceId>) {
+        if (seeds == this.seeds) return
+        log.info("seeds_changed") { field("seeds", seeds.joinToString(",")) }
+        this.seeds = seeds
+    }
+
+    override fun close() {
+        log.info("ending")
+        duty.put(ReplicaDutyEvent.Leave)
+        listOf(timer, server, directory, duty, links, store).forEach { part -> runCatching { part.close() } }
+        log.info("ended")
+    }
+
+    private fun startTimers() {
+        timer.subscribe(TICK_MILLIS) { duty.offer(ReplicaDutyEvent.Tick) }
+        timer.subscribe(BEAT_MILLIS, feed::beat)
+        timer.subscribe(DIRECTORY_MILLIS, directory::poll)
+        timer.subscribe(JOIN_MILLIS, ::announceIfOutside)
+        directory.poll()
+    }
+
+    /** Any instance of the cluster may be a peer: identity is checked with each call. */
+    private fun isPeer(name: InstanceId): Boolean = settings.rpcAddressOrNull(name) != null
+
+    /** A replica that has heard of no leader for long may have been replaced meanwhile. */
+    private fun announceIfOutside() {
+        val current = replica.published
+        val silenceMillis = MonotonicClock.nowMillis() - current.currentMillis
+        if (current.isMember && silenceMillis < OUTSIDE_MILLIS) {
+            told = null
+            return
+        }
+        val peers = (seeds + current.members + told?.members.orEmpty()).distinct()
+        links.announce(store.replica, settings.dataCentre, peers) { reply ->
+            if (reply.leader != null) told = reply
+        }
+    }
+
+    private inner class ReplicaOutputs : ReplicaDuty.Outputs {
+        override fun send(to: ReplicaId, message: ReplicaMessage) = links.send(store.replica, to, message)
+
+        override fun stateChanged(state: ControlState, index: Long) {
+            state.routes?.let(feed::routesChanged)
+        }
+    }
+
+    /** Starts instances. */
+    public companion object {
+        private const val RING_EVENTS = 4_096
+        private const val TICK_MILLIS = 100L
+
+        /** How often entries hear of this instance; a third of what they allow, in milliseconds. */
+        private const val BEAT_MILLIS = 400L
+
+        /** How often the directory is read, in milliseconds; a third of the time in which a change must be known. */
+        private const val DIRECTORY_MILLIS = 900L
+        private const val JOIN_MILLIS = 300L
+
+        /** Longer than an election takes, in milliseconds. */
+        private const val OUTSIDE_MILLIS = 4_000L
+        private val log = EventLog.fromName("control")
+
+        /** Starts the instance; waits until its disk can be used. */
+        public fun start(
+            settings: ClusterSettings,
+            reader: RouteDocumentReader,
+            directory: DirectorySource,
+        ): ClusterProgram {
+            val store = ClusterStore.open(settings)
+            val program = ClusterProgram(settings, store, reader, directory)
+            program.startTimers()
+            log.info("started") {
+                field("replica", store.replica)
+                field("first_start", settings.isFirstStart)
+                field("torn_bytes", store.recovered.tornBytes)
+                field("members", program.replica.published.members.joinToString(","))
+            }
+            return program
+        }
+    }
+}
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
@@ -3,51 +3,81 @@
 import io.grpc.stub.StreamObserver
 import io.prometheus.metrics.core.metrics.Counter
 import marigoldward.core.Outcome
+import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.ReplicaId
 import marigoldward.core.replication.ReplicaMessage
 import marigoldward.support.duty.Duty
+import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.peer.JoinAnnouncement
+import marigoldward.wire.peer.JoinReply
 import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.peer.PeerRpc
-import marigoldward.wire.rpc.Acknowledgement
 import marigoldward.wire.rpc.ClusterIdentity
 import marigoldward.wire.rpc.RpcClient
-import marigoldward.wire.rpc.RpcLimits
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Sends replication messages to the other replicas. Messages that can't be delivered are dropped.
+ *
+ * @param addressOrNull where an instance is reached, or null if that is not known
+ * @param entries the number of entries to tell the others
+ */
+internal class PeerLinks(
+    private val self: InstanceId,
+    private val identity: ClusterIdentity,
+    private val addressOrNull: (InstanceId) -> InetSocketAddress?,
+    private val entries: () -> Int,
+) : AutoCloseable {
+    private val links = ConcurrentHashMap<InstanceId, PeerLink>()
 
-/** Sends replication messages to the other replicas. Messages that can't be delivered are dropped. */
-internal class PeerLinks private constructor(private val links: Map<InstanceId, PeerLink>) : AutoCloseable {
     fun send(from: ReplicaId, to: ReplicaId, message: ReplicaMessage) {
-        links[to.name]?.send(from, to, message)
+        linkOrNull(to.name)?.send(from, to, message)
     }
 
-    fun announce(replica: ReplicaId) {
-        links.values.forEach { it.announce(replica) }
+    /** Tells [peers] that [replica] waits to be taken in; [onReply] gets their answers. */
+    fun announce(
+        replica: ReplicaId,
+        dataCentre: DataCentre?,
+        peers: Collection<InstanceId>,
+        onReply: (JoinReply) -> Unit = {},
+    ) {
+        peers.forEach { linkOrNull(it)?.announce(JoinAnnouncement(replica, dataCentre), onReply) }
     }
 
     override fun close() {
         links.values.forEach(PeerLink::close)
     }
 
-    companion object {
-        fun open(self: InstanceId, peers: Map<InstanceId, InetSocketAddress>, identity: ClusterIdentity): PeerLinks =
-            PeerLinks((peers - self).mapValues { PeerLink(it.key, RpcClient.to(it.value, identity)) })
+    private fun linkOrNull(name: InstanceId): PeerLink? {
+        if (name == self) return null
+        links[name]?.let { return it }
+        val address = addressOrNull(name) ?: return null
+        return links.computeIfAbsent(name) { PeerLink(name, address, identity, entries) }
     }
 }
 
 /** The link to one other replica: one thread behind a bounded ring. */
-private class PeerLink(name: InstanceId, private val client: RpcClient) : AutoCloseable {
+private class PeerLink(
+    name: InstanceId,
+    private val address: InetSocketAddress,
+    private val identity: ClusterIdentity,
+    private val entries: () -> Int,
+) : AutoCloseable {
     private data class Outgoing(val from: ReplicaId, val to: ReplicaId, val message: ReplicaMessage)
 
+    @Volatile
+    private var client = RpcClient.to(address, identity)
+    private var openedMillis = MonotonicClock.nowMillis()
     private val duty: Duty<Outgoing> = Duty.start("peer-$name", RING_MESSAGES, ::deliver)
 
     fun send(from: ReplicaId, to: ReplicaId, message: ReplicaMessage) {
         if (!duty.offer(Outgoing(from, to, message))) dropped.inc()
     }
 
-    fun announce(replica: ReplicaId) {
-        client.callLater(PeerRpc.JOIN, JoinAnnouncement(replica), RpcLimits.SHORT_CALL_MILLIS, IgnoredAnswer)
+    fun announce(announcement: JoinAnnouncement, onReply: (JoinReply) -> Unit) {
+        client.callLater(PeerRpc.JOIN, announcement, DELIVERY_MILLIS, JoinAnswer(onReply))
     }
 
     override fun close() {
@@ -63,21 +93,36 @@
     private fun deliver(batch: List<Outgoing>) {
         batch.chunked(MAX_ENVELOPE_MESSAGES).forEach { part ->
             part.groupBy { Ends(it.from, it.to) }.forEach { (ends, messages) ->
-                val envelope = PeerEnvelope(ends.from, ends.to, messages.map { it.message })
-                val reply = client.call(PeerRpc.DELIVER, envelope, RpcLimits.SHORT_CALL_MILLIS)
-                if (reply is Outcome.Failure) dropped.inc(messages.size.toLong())
+                val envelope = PeerEnvelope(ends.from, ends.to, messages.map { it.message }, entries())
+                val reply = client.call(PeerRpc.DELIVER, envelope, DELIVERY_MILLIS)
+                if (reply is Outcome.Failure) undelivered(messages.size)
             }
         }
     }
 
+    /** A connection may have gone silent while a new one would work, so a failure opens another. */
+    @Synchronized
+    private fun undelivered(messages: Int) {
+        dropped.inc(messages.toLong())
+        reopen()
+    }
+
+    @Synchronized
+    private fun reopen() {
+        val nowMillis = MonotonicClock.nowMillis()
+        if (nowMillis - openedMillis < MIN_CONNECTION_MILLIS) return
+        openedMillis = nowMillis
+        val broken = client
+        client = RpcClient.to(address, identity)
+        broken.close()
+    }
+
     private data class Ends(val from: ReplicaId, val to: ReplicaId)
 
-    private object IgnoredAnswer : StreamObserver<Acknowledgement> {
-        override fun onNext(value: Acknowledgement) = Unit
+    private inner class JoinAnswer(private val onReply: (JoinReply) -> Unit) : StreamObserver<JoinReply> {
+        override fun onNext(value: JoinReply) = onReply(value)
 
-        override fun onError(failure: Throwable) {
-            dropped.inc()
-        }
+        override fun onError(failure: Throwable) = undelivered(1)
 
         override fun onCompleted() = Unit
     }
@@ -85,6 +130,12 @@
     private companion object {
         const val RING_MESSAGES = 1_024
         const val MAX_ENVELOPE_MESSAGES = 32
+
+        /** Below the shortest election timeout, so that a silent connection is replaced before a leader is missed. */
+        const val DELIVERY_MILLIS = 600L
+
+        /** How long a connection gets before another is tried, in milliseconds. */
+        const val MIN_CONNECTION_MILLIS = 500L
         val dropped: Counter =
             Counter
                 .builder()
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
@@ -2,41 +2,59 @@
 
 import io.grpc.ServerServiceDefinition
 import io.prometheus.metrics.core.metrics.Counter
+import marigoldward.control.replica.PublishedStatus
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.core.model.InstanceId
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
+import marigoldward.wire.peer.JoinAnnouncement
+import marigoldward.wire.peer.JoinReply
 import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.peer.PeerRpc
 import marigoldward.wire.rpc.Acknowledgement
 import marigoldward.wire.rpc.ServiceBuilder
 import java.util.concurrent.atomic.AtomicLong
 
-/** Takes what other replicas send; one that the settings don't list is refused. */
-internal class PeerService(private val peers: Set<InstanceId>, private val duty: Duty<ReplicaDutyEvent>) {
+/**
+ * Takes what other replicas send; one that [isKnown] does not accept is refused.
+ *
+ * @param status what this replica last published of itself
+ * @param onEntries told how many entries watch another replica
+ */
+internal class PeerService(
+    private val isKnown: (InstanceId) -> Boolean,
+    private val duty: Duty<ReplicaDutyEvent>,
+    private val status: () -> PublishedStatus,
+    private val onEntries: (InstanceId, Int) -> Unit,
+) {
     private val lastLoggedMillis = AtomicLong(MonotonicClock.nowMillis() - LOG_PERIOD_MILLIS)
 
     val service: ServerServiceDefinition =
         ServiceBuilder
             .named(PeerRpc.SERVICE)
             .unary(PeerRpc.DELIVER, ::deliver)
-            .unary(PeerRpc.JOIN) { announcement ->
-                Acknowledgement(
-                    isKnown(announcement.replica.name) && duty.offer(ReplicaDutyEvent.Joining(announcement.replica)),
-                )
-            }.build()
+            .unary(PeerRpc.JOIN, ::join)
+            .build()
+
+    private fun join(announcement: JoinAnnouncement): JoinReply {
+        val event = ReplicaDutyEvent.Joining(announcement.replica, announcement.dataCentre)
+        val isTaken = accepts(announcement.replica.name) && duty.offer(event)
+        val current = status()
+        return JoinReply(isTaken, current.leader, current.members)
+    }
 
     private fun deliver(envelope: PeerEnvelope): Acknowledgement {
-        if (!isKnown(envelope.from.name)) return Acknowledgement(isTaken = false)
+        if (!accepts(envelope.from.name)) return Acknowledgement(isTaken = false)
+        onEntries(envelope.from.name, envelope.entries)
         val taken = envelope.messages.map { message ->
             duty.offer(ReplicaDutyEvent.Received(envelope.from, envelope.to, message))
         }
         return Acknowledgement(taken.all { it })
     }
 
-    private fun isKnown(name: InstanceId): Boolean {
-        val known = name in peers
+    private fun accepts(name: InstanceId): Boolean {
+        val known = isKnown(name)
         if (!known) reportUnknown(name)
         return known
     }
--- a/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
@@ -71,6 +71,20 @@
         override fun onConfirmed() = answer(onLeading())
     }
 
+    /** A read of the configuration of routes. */
+    class RoutesReading(private val onLeading: () -> RoutesRead, private val answer: (RoutesRead) -> Unit) :
+        PendingRequest {
+        override fun onCommitted(outcome: ControlOutcome) = error("a read is not in the log")
+
+        override fun onRefused(refusal: ReplicaRefusal) = answer(RoutesRead.NotLeader(refusal.leaderOrNull()))
+
+        override fun onUnknown() = answer(RoutesRead.NotLeader(null))
+
+        override fun onWithdrawn(reason: String) = answer(RoutesRead.NotLeader(null))
+
+        override fun onConfirmed() = answer(onLeading())
+    }
+
     /** A change of members that this replica makes by itself. */
     data object OwnChange : PendingRequest {
         override fun onCommitted(outcome: ControlOutcome) = Unit
--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.control.ControlState
 import marigoldward.core.replication.EntryPayload
 import marigoldward.core.replication.LogEntry
+import marigoldward.core.replication.MembershipPlanner
 import marigoldward.core.replication.Replica
 import marigoldward.core.replication.ReplicaAction
 import marigoldward.core.replication.ReplicaEvent
@@ -30,6 +31,7 @@
     timing: ReplicationTiming,
     seed: Long,
     private val outputs: Outputs,
+    planner: MembershipPlanner? = null,
 ) {
     /** What the replica hands to other threads. */
     interface Outputs {
@@ -52,7 +54,12 @@
     private var appliedIndex = recovered.snapshot.point.index
     private var isDiskWritable = true
     private val pending = PendingRequests()
-    private val requests = RequestHandling(pending)
+    private val requests = RequestHandling(pending, planner) { control }
+
+    /** What other threads may know of this replica. */
+    @Volatile
+    var published: PublishedStatus = toPublished()
+        private set
 
     init {
         outputs.stateChanged(control, appliedIndex)
@@ -79,9 +86,21 @@
             replica = stepDownAfterFailure(before, nowMillis)
             pending.withdraw(numbers, "the disk does not take writes")
         }
+        published = toPublished()
         updateMetrics()
     }
 
+    private fun toPublished(): PublishedStatus {
+        val nowMillis = MonotonicClock.nowMillis()
+        return PublishedStatus(
+            leader = replica.leaderOrNull?.name,
+            isLeader = replica.isLeader,
+            members = replica.log.members.all.map { it.name },
+            isMember = replica.self in replica.log.members.all,
+            currentMillis = nowMillis - replica.staleMillis(nowMillis),
+        )
+    }
+
     private fun view(): ReplicaView = ReplicaView(replica, control, appliedIndex, isDiskWritable)
 
     private fun persist(actions: List<ReplicaAction>): Boolean {
--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDutyEvent.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDutyEvent.kt
@@ -1,6 +1,7 @@
 package marigoldward.control.replica
 
 import marigoldward.core.control.ControlCommand
+import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.ReplicaId
 import marigoldward.core.replication.ReplicaMessage
@@ -16,7 +17,7 @@
 
     data class Received(val from: ReplicaId, val to: ReplicaId, val message: ReplicaMessage) : ReplicaDutyEvent
 
-    data class Joining(val replica: ReplicaId) : ReplicaDutyEvent
+    data class Joining(val replica: ReplicaId, val dataCentre: DataCentre? = null) : ReplicaDutyEvent
 
     data class Submit(val command: ControlCommand, val answer: (SubmitReply) -> Unit) : ReplicaDutyEvent
 
@@ -26,5 +27,10 @@
 
     data class ReadEngines(val answer: (EnginesReply) -> Unit) : ReplicaDutyEvent
 
+    data class ReadRoutes(val answer: (RoutesRead) -> Unit) : ReplicaDutyEvent
+
+    /** The process ends; another replica should lead. */
+    data object Leave : ReplicaDutyEvent
+
     data class ReadStatus(val withBundle: Boolean, val answer: (StatusReply) -> Unit) : ReplicaDutyEvent
 }
--- a/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
@@ -4,12 +4,15 @@
 import kotlinx.collections.immutable.persistentMapOf
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlOutcome
+import marigoldward.core.control.ControlState
 import marigoldward.core.control.LeaseRecord
 import marigoldward.core.lease.LeaseTable
 import marigoldward.core.lease.LeaseTiming
+import marigoldward.core.model.DataCentre
 import marigoldward.core.model.FencingToken
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.MemberChange
+import marigoldward.core.replication.MembershipPlanner
 import marigoldward.core.replication.ReplicaEvent
 import marigoldward.core.replication.ReplicaId
 import marigoldward.support.time.MonotonicClock
@@ -17,23 +20,34 @@
 import marigoldward.wire.control.LeaseReply
 import marigoldward.wire.control.SubmitReply
 
-/** Turns what reaches the replica's thread into replica events, and keeps the times of leases. */
-internal class RequestHandling(private val pending: PendingRequests) {
+/**
+ * Turns what reaches the replica's thread into replica events, and keeps the times of leases.
+ *
+ * @param planner decides about members; null if operators do
+ * @param control the control state as of the newest entry that was applied
+ */
+internal class RequestHandling(
+    private val pending: PendingRequests,
+    private val planner: MembershipPlanner?,
+    private val control: () -> ControlState,
+) {
     private var leases = LeaseTable.fromLeadership(LeaseTiming.DEFAULT, MonotonicClock.nowMillis())
     private var joining: PersistentMap<InstanceId, JoiningReplica> = persistentMapOf()
 
-    private data class JoiningReplica(val replica: ReplicaId, val heardMillis: Long)
+    private data class JoiningReplica(val replica: ReplicaId, val dataCentre: DataCentre?, val heardMillis: Long)
 
     /** Returns the replica events that [event] asks for. */
     fun toReplicaEvents(event: ReplicaDutyEvent, view: ReplicaView, nowMillis: Long): List<RequestedStep> =
         when (event) {
-            ReplicaDutyEvent.Tick -> tick(view)
+            ReplicaDutyEvent.Tick -> tick(view, nowMillis)
+            ReplicaDutyEvent.Leave -> listOf(RequestedStep(ReplicaEvent.Resign, null))
             is ReplicaDutyEvent.Received -> received(event, view)
             is ReplicaDutyEvent.Joining -> join(event, nowMillis)
             is ReplicaDutyEvent.Submit -> submit(event)
             is ReplicaDutyEvent.Replace -> replace(event, view, nowMillis)
             is ReplicaDutyEvent.Lease -> lease(event, view, nowMillis)
-            is ReplicaDutyEvent.ReadEngines -> readEngines(event, view)
+            is ReplicaDutyEvent.ReadEngines -> readEngines(event)
+            is ReplicaDutyEvent.ReadRoutes -> readRoutes(event)
             is ReplicaDutyEvent.ReadStatus -> {
                 event.answer(StatusReport.from(view, joiningNow(nowMillis), event.withBundle))
                 emptyList()
@@ -51,21 +65,32 @@
         leases = LeaseTable.fromLeadership(leases.timing, nowMillis)
     }
 
-    private fun tick(view: ReplicaView): List<RequestedStep> {
-        val next = if (view.replica.isLeader) Replacement.nextStepOrNull(view.replica.log.members) else null
+    private fun tick(view: ReplicaView, nowMillis: Long): List<RequestedStep> {
+        val next = if (view.replica.isLeader) nextChangeOrNull(view, nowMillis) else null
         val tick = RequestedStep(ReplicaEvent.Tick, null)
         if (next == null) return listOf(tick)
         val number = pending.add(PendingRequest.OwnChange)
         return listOf(tick, RequestedStep(ReplicaEvent.ChangeMembers(number, next), number))
     }
 
+    private fun nextChangeOrNull(view: ReplicaView, nowMillis: Long): MemberChange? {
+        if (planner == null) return Replacement.nextStepOrNull(view.replica.log.members)
+        if (view.replica.log.membersIndex > view.replica.commitIndex) return null
+        val waiting = joining.values.filter { nowMillis - it.heardMillis < JOINING_TIMEOUT_MILLIS }
+        val newcomers = waiting.mapNotNull { newcomer ->
+            newcomer.dataCentre?.let { MembershipPlanner.Newcomer(newcomer.replica, it) }
+        }
+        val dataCentres = joining.values.mapNotNull { known -> known.dataCentre?.let { known.replica.name to it } }
+        return planner.nextChangeOrNull(view.replica, newcomers, dataCentres.toMap(), nowMillis)
+    }
+
     private fun received(event: ReplicaDutyEvent.Received, view: ReplicaView): List<RequestedStep> {
         if (event.to != view.replica.self) return emptyList()
         return listOf(RequestedStep(ReplicaEvent.Received(event.from, event.message), null))
     }
 
     private fun join(event: ReplicaDutyEvent.Joining, nowMillis: Long): List<RequestedStep> {
-        joining = joining.put(event.replica.name, JoiningReplica(event.replica, nowMillis))
+        joining = joining.put(event.replica.name, JoiningReplica(event.replica, event.dataCentre, nowMillis))
         return emptyList()
     }
 
@@ -119,12 +144,18 @@
         return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
     }
 
-    private fun readEngines(event: ReplicaDutyEvent.ReadEngines, view: ReplicaView): List<RequestedStep> {
-        val read: () -> EnginesReply = { EnginesReply(view.control.engines, null) }
+    private fun readEngines(event: ReplicaDutyEvent.ReadEngines): List<RequestedStep> {
+        val read: () -> EnginesReply = { EnginesReply(control().engines, null) }
         val number = pending.add(PendingRequest.EngineRead(read, event.answer))
         return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
     }
 
+    private fun readRoutes(event: ReplicaDutyEvent.ReadRoutes): List<RequestedStep> {
+        val read: () -> RoutesRead = { RoutesRead.Current(control().routes) }
+        val number = pending.add(PendingRequest.RoutesReading(read, event.answer))
+        return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
+    }
+
     private fun joiningNow(nowMillis: Long): List<ReplicaId> =
         joining.values.filter { nowMillis - it.heardMillis < JOINING_TIMEOUT_MILLIS }.map { it.replica }
 
--- /dev/null
+++ b/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
@@ -0,0 +1,81 @@
+package marigoldward.control.routes
+
+import marigoldward.control.replica.ReplicaDutyEvent
+import marigoldward.control.replica.RoutesRead
+import marigoldward.core.Outcome
+import marigoldward.core.control.ControlCommand
+import marigoldward.core.control.ControlOutcome
+import marigoldward.core.routes.RouteDocument
+import marigoldward.core.routes.RouteDocumentReader
+import marigoldward.support.bytes.Gzip
+import marigoldward.support.duty.Duty
+import marigoldward.support.log.EventLog
+import marigoldward.support.time.MonotonicClock
+import marigoldward.wire.control.SubmitReply
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/** Stores and reads operators' configurations of routes through the replica. Waits for the answer. */
+public class RouteStore internal constructor(
+    private val duty: Duty<ReplicaDutyEvent>,
+    private val reader: RouteDocumentReader,
+) {
+    /** Checks [content] and puts it in force if its version is the highest. */
+    public fun store(content: ByteArray): RouteStoreResult {
+        val startMillis = MonotonicClock.nowMillis()
+        val result =
+            when (val read = reader.read(content)) {
+                is Outcome.Failure -> RouteStoreResult.Invalid(read.error)
+                is Outcome.Success -> submit(RouteDocument(read.value.version, Gzip.compress(content)))
+            }
+        log.info("configuration_offered") {
+            field("bytes", content.size)
+            field("outcome", result)
+            field("took_ms", MonotonicClock.nowMillis() - startMillis)
+        }
+        return result
+    }
+
+    /** Returns the configuration in force, as its operator sent it. */
+    public fun read(): RouteReadResult {
+        val answer = CompletableFuture<RoutesRead>()
+        if (!duty.offer(ReplicaDutyEvent.ReadRoutes(answer::complete))) return RouteReadResult.Unknown
+        return when (val read = await(answer)) {
+            null -> RouteReadResult.Unknown
+            is RoutesRead.NotLeader -> RouteReadResult.NotLeader(read.leader)
+            is RoutesRead.Current ->
+                RouteReadResult.Current(read.document?.let { Gzip.decompress(it.compressed) })
+        }
+    }
+
+    private fun submit(document: RouteDocument): RouteStoreResult {
+        val answer = CompletableFuture<SubmitReply>()
+        val command = ControlCommand.StoreRoutes(document)
+        if (!duty.offer(ReplicaDutyEvent.Submit(command, answer::complete))) return RouteStoreResult.Unknown
+        return when (val reply = await(answer)) {
+            null, SubmitReply.Unknown, is SubmitReply.Refused -> RouteStoreResult.Unknown
+            is SubmitReply.NotLeader -> RouteStoreResult.NotLeader(reply.leader)
+            is SubmitReply.Committed -> toResult(reply.outcome)
+        }
+    }
+
+    private fun toResult(outcome: ControlOutcome): RouteStoreResult = when (outcome) {
+        is ControlOutcome.RoutesStored -> RouteStoreResult.Stored(outcome.version)
+        is ControlOutcome.RoutesSuperseded -> RouteStoreResult.Superseded(outcome.current)
+        is ControlOutcome.RoutesVersionTaken -> RouteStoreResult.VersionTaken(outcome.current)
+        else -> error("a configuration came to $outcome")
+    }
+
+    private fun <T> await(answer: CompletableFuture<T>): T? = try {
+        answer.get(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+    } catch (_: TimeoutException) {
+        null
+    }
+
+    private companion object {
+        /** Longer than a new leader takes; an operator's program asks elsewhere long before. */
+        const val ANSWER_MILLIS = 3_000L
+        val log = EventLog.fromName("routes")
+    }
+}
--- a/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
@@ -1,6 +1,7 @@
 package marigoldward.control.storage
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoBuf
 import marigoldward.core.Outcome
 import marigoldward.core.replication.LogEntry
@@ -15,7 +16,9 @@
 /**
  * The file that holds the log entries after the snapshot, one checksummed record each.
  *
- * Nothing is durable before [sync]. A failed write leaves the file as it was after the last [sync].
+ * Nothing is durable before [sync]. A failed write leaves the file as it was after the last [sync]. Each record says
+ * how much of the file was durable when it was written, so that damage to what was durable can be told from writes
+ * that a loss of power left undone, of which any part may be there.
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal class EntryLog private constructor(
@@ -41,7 +44,7 @@
         val added = ArrayList<Position>(entries.size)
         entries.forEach { entry ->
             added.add(Position(entry.index, channel.position()))
-            channel.writeFully(frame(ProtoBuf.encodeToByteArray(LogEntry.serializer(), entry)))
+            channel.writeFully(frame(encode(Record(syncedBytes, entry))))
         }
         offsets = offsets + added
     }
@@ -87,11 +90,16 @@
         val end = offsets[keep].offset
         channel.truncate(end)
         channel.position(end)
+        channel.force(true)
         syncedBytes = minOf(syncedBytes, end)
         offsets = offsets.subList(0, keep)
         syncedOffsets = offsets
     }
 
+    /** One [entry], and how much of the file was durable when it was written, in bytes. */
+    @Serializable
+    private data class Record(val durableBytes: Long, val entry: LogEntry)
+
     /** What a log file held when it was opened. */
     data class Opened(val log: EntryLog, val entries: List<LogEntry>, val tornBytes: Long)
 
@@ -104,12 +112,12 @@
             var offset = 0
             while (true) {
                 val payload = unframeOrNull(data, offset) ?: break
-                val entry = ProtoBuf.decodeFromByteArray(LogEntry.serializer(), payload)
+                val entry = decode(payload).entry
                 positions.add(Position(entry.index, offset.toLong()))
                 entries.add(entry)
                 offset += HEADER_BYTES + payload.size
             }
-            if (hasRecordAfter(data, offset)) {
+            if (durableBytes(data, offset) > offset) {
                 return Outcome.Failure(StorageProblem.Corrupt(path.toString(), offset.toLong()))
             }
             val channel = openChannel(path)
@@ -120,8 +128,14 @@
             return Outcome.Success(Opened(EntryLog(path, channel, positions), entries, tornBytes))
         }
 
-        private fun hasRecordAfter(data: ByteBuffer, offset: Int): Boolean =
-            (offset + 1..data.limit() - HEADER_BYTES).any { unframeOrNull(data, it) != null }
+        /** How much of the file was durable by the records that stand after [offset], in bytes. */
+        private fun durableBytes(data: ByteBuffer, offset: Int): Long = (offset + 1..data.limit() - HEADER_BYTES)
+            .mapNotNull { unframeOrNull(data, it) }
+            .maxOfOrNull { decode(it).durableBytes } ?: 0
+
+        private fun encode(record: Record): ByteArray = ProtoBuf.encodeToByteArray(Record.serializer(), record)
+
+        private fun decode(payload: ByteArray): Record = ProtoBuf.decodeFromByteArray(Record.serializer(), payload)
 
         private fun openChannel(path: Path): FileChannel =
             FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -7,6 +7,7 @@
 import marigoldward.core.model.InstanceId
 import marigoldward.core.model.Revision
 import marigoldward.core.model.UpstreamId
+import marigoldward.core.routes.RouteDocument
 
 /** A change to the replicated control state. */
 @Serializable
@@ -97,6 +98,13 @@
     @SerialName("release-quarantine")
     public data class ReleaseQuarantine(val fingerprint: Fingerprint) : ControlCommand
 
+    /** Puts [document] in force if its version is higher than the one held. */
+    @Serializable
+    @SerialName("store-routes")
+    public data class StoreRoutes(val document: RouteDocument) : ControlCommand {
+        override val approximateBytes: Long get() = SMALL_COMMAND_BYTES + document.compressed.size
+    }
+
     /** Sizes. */
     public companion object {
         private const val SMALL_COMMAND_BYTES = 256L
--- a/core/src/main/kotlin/marigoldward/core/control/ControlMachine.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlMachine.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.control.internal.Leases
 import marigoldward.core.control.internal.Operations
 import marigoldward.core.control.internal.Quarantines
+import marigoldward.core.control.internal.RouteDocuments
 
 /** Applies committed commands to the control state: the same commands give the same state everywhere. */
 public object ControlMachine {
@@ -19,6 +20,7 @@
         is ControlCommand.CompleteClaim -> Claims.complete(state, command)
         is ControlCommand.ReleaseClaim -> Claims.release(state, command)
         is ControlCommand.Quarantine -> Quarantines.add(state, command)
+        is ControlCommand.StoreRoutes -> RouteDocuments.store(state, command)
         is ControlCommand.ReleaseQuarantine -> Quarantines.remove(state, command)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/control/ControlOutcome.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlOutcome.kt
@@ -84,6 +84,21 @@
     @SerialName("claims-full")
     public data object ClaimsFull : ControlOutcome
 
+    /** The configuration of routes [version] is in force. */
+    @Serializable
+    @SerialName("routes-stored")
+    public data class RoutesStored(val version: Long) : ControlOutcome
+
+    /** Nothing changed: the offered configuration is in force or older than [current], which is. */
+    @Serializable
+    @SerialName("routes-superseded")
+    public data class RoutesSuperseded(val current: Long) : ControlOutcome
+
+    /** Nothing changed: the offered version is [current], which has another content. */
+    @Serializable
+    @SerialName("routes-version-taken")
+    public data class RoutesVersionTaken(val current: Long) : ControlOutcome
+
     /** The command is carried out and there is nothing more to say. */
     @Serializable
     @SerialName("done")
--- a/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.config.ConfigurationBundle
 import marigoldward.core.model.Revision
 import marigoldward.core.model.UpstreamId
+import marigoldward.core.routes.RouteDocument
 
 /**
  * The replicated state: what must survive.
@@ -15,6 +16,7 @@
  * @property claims the idempotency keys in use, oldest first
  * @property quarantine the refused fingerprints and why, oldest first
  * @property quarantineVersion grows with each change of [quarantine]
+ * @property routes the configuration of routes with the highest version, or null before the first
  */
 @Serializable
 public data class ControlState(
@@ -27,6 +29,7 @@
     val claims: StateMap<IdempotencyKey, Claim>,
     val quarantine: StateMap<Fingerprint, String>,
     val quarantineVersion: Long,
+    val routes: RouteDocument? = null,
 ) {
     /** Creates states. */
     public companion object {
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -0,0 +1,173 @@
+package marigoldward.core.dispatch
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentMap
+import marigoldward.core.model.DataCentre
+import marigoldward.core.model.PoolName
+import marigoldward.core.model.UpstreamId
+import marigoldward.core.routes.EngineDeclaration
+import kotlin.random.Random
+
+/**
+ * What one entry knows of the upstreams, and where it sends requests.
+ *
+ * Without clock, thread or network of its own; used by one thread. [seed] fixes its random choices.
+ */
+public class Dispatcher(private val dataCentre: DataCentre, private val costs: PlacementCosts, seed: Long) {
+    private val random = Random(seed)
+    private var records: PersistentMap<UpstreamId, UpstreamRecord> = persistentMapOf()
+    private var nextNumber = 1L
+
+    /** How many upstreams are listed. */
+    public val listedUpstreams: Int get() = records.size
+
+    /** Returns what is known of [id], or null if it is not listed. */
+    public fun recordOrNull(id: UpstreamId): UpstreamRecord? = records[id]
+
+    /** Takes over the directory's list; what is known of upstreams that stay listed is kept. */
+    public fun list(upstreams: List<ListedUpstream>) {
+        val fresh = upstreams.associate { listed ->
+            val known = records[listed.id]?.takeIf { it.listed.address == listed.address }
+            listed.id to (known?.copy(listed = listed) ?: UpstreamRecord.fromListed(listed))
+        }
+        val leaving = records.filter { (id, record) -> id !in fresh && record.attempts.isNotEmpty() }
+        val gone = leaving.mapValues { (_, record) -> record.copy(listed = record.listed.copy(isLeaving = true)) }
+        records = (fresh + gone).toPersistentMap()
+    }
+
+    /** Returns where a request to the plain service [service] goes, other than to [tried]. */
+    public fun place(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long): Placement {
+        val usable = usable(service, tried, nowMillis)
+        if (usable.isEmpty()) return Placement.None(reason(service))
+        val chosen = least(usable) { plainCost(it, nowMillis) }
+        return Placement.Whole(chosen.listed, 0)
+    }
+
+    /** Returns where a generation with [prompt] on the engines of [service] goes, other than to [tried]. */
+    public fun place(
+        service: PoolName,
+        engine: EngineDeclaration,
+        prompt: Prompt,
+        tried: Set<UpstreamId>,
+        nowMillis: Long,
+    ): Placement {
+        val usable = usable(service, tried, nowMillis)
+        val decoders = usable.filter { it.listed.stage != EngineStage.PREFILL }
+        if (decoders.isEmpty()) return Placement.None(reason(service))
+        val readers = usable.filter { it.listed.stage == EngineStage.PREFILL }
+        val view = GenerationView(engine, prompt, dataCentre, costs, nowMillis)
+        val decodeHome = homeOrNull(decoders, prompt)
+        val direct = decoders.map { view.whole(it, it.listed.id == decodeHome) }
+        val readHome = homeOrNull(readers, prompt)
+        val split = readers.flatMap { reader ->
+            val tokens = reader.tokensToRead(prompt, reader.listed.id == readHome, nowMillis)
+            decoders.map { decoder -> view.split(reader, decoder, tokens) }
+        }
+        return (direct + split).minBy { it.costMillis + random.nextDouble() * NEAR_MILLIS }.placement
+    }
+
+    /** Notes that a request is sent to [upstream] at [nowMillis] and has [tokensToRead] prompt tokens to read there. */
+    public fun started(upstream: UpstreamId, prompt: Prompt?, tokensToRead: Int, nowMillis: Long): Attempt {
+        val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, nowMillis)
+        update(upstream) { record ->
+            val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
+            if (prompt == null) counted else counted.withPrefixes(prompt, nowMillis)
+        }
+        return attempt
+    }
+
+    /** Notes that the prompt of [attempt] has been read. */
+    public fun promptRead(attempt: Attempt) {
+        update(attempt.upstream) { record ->
+            val current = record.attempts[attempt.number] ?: return@update record
+            record.copy(attempts = record.attempts.put(attempt.number, current.copy(isReading = false)))
+        }
+    }
+
+    /** Notes how [attempt] ended. */
+    public fun ended(attempt: Attempt, end: AttemptEnd, nowMillis: Long) {
+        update(attempt.upstream) { record ->
+            record.copy(
+                attempts = record.attempts.remove(attempt.number),
+                health = record.health.after(end, attempt.startedMillis, nowMillis),
+            )
+        }
+    }
+
+    /** Notes that bytes came from [upstream], with [load] if they told it. */
+    public fun heard(upstream: UpstreamId, load: ReportedLoad?, nowMillis: Long) {
+        update(upstream) { record ->
+            val heard = record.copy(health = record.health.copy(heardMillis = nowMillis))
+            if (load == null) {
+                heard
+            } else {
+                heard.copy(report = load, reportMillis = nowMillis, ownAtReport = record.attempts.size)
+            }
+        }
+    }
+
+    private fun update(id: UpstreamId, change: (UpstreamRecord) -> UpstreamRecord) {
+        val record = records[id] ?: return
+        records = records.put(id, change(record))
+    }
+
+    private fun usable(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long): List<UpstreamRecord> =
+        records.values.filter { record ->
+            record.listed.service == service &&
+                !record.listed.isLeaving &&
+                record.listed.id !in tried &&
+                isHealthy(record, nowMillis)
+        }
+
+    /** After an ejection one attempt at a time tries the upstream; one that does not answer at all gets none. */
+    private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean {
+        val health = record.health
+        val isTried = health.failures > 0 && record.attempts.isNotEmpty()
+        val isSilent = record.attempts.values.any { attempt ->
+            health.heardMillis < attempt.startedMillis &&
+                nowMillis - attempt.startedMillis > silenceMillis(record, attempt)
+        }
+        return nowMillis >= health.ejectedUntilMillis && !isTried && !isSilent
+    }
+
+    private fun silenceMillis(record: UpstreamRecord, attempt: Attempt): Long =
+        SILENCE_MILLIS + (costs.readMillis(attempt.tokensToRead + record.ownReadingTokens) * SILENCE_FACTOR).toLong()
+
+    private fun reason(service: PoolName): Placement.Reason =
+        if (records.values.any { it.listed.service == service && !it.listed.isLeaving }) {
+            Placement.Reason.NONE_USABLE
+        } else {
+            Placement.Reason.NO_UPSTREAM
+        }
+
+    private fun plainCost(record: UpstreamRecord, nowMillis: Long): Double {
+        val ahead = record.requests(nowMillis).toDouble() / maxOf(1, record.listed.slots)
+        return ahead * costs.fullServiceMillis +
+            record.health.failureRate * costs.failureMillis +
+            coldMillis(record) +
+            costs.callMillis(record.listed.dataCentre != dataCentre)
+    }
+
+    private fun coldMillis(record: UpstreamRecord): Double = if (record.listed.isCold) costs.coldMillis else 0.0
+
+    private fun least(records: List<UpstreamRecord>, cost: (UpstreamRecord) -> Double): UpstreamRecord =
+        records.minBy { cost(it) + random.nextDouble() * NEAR_MILLIS }
+
+    /** Entries agree without talking on the engine that keeps a prefix. */
+    private fun homeOrNull(engines: List<UpstreamRecord>, prompt: Prompt): UpstreamId? {
+        val key = prompt.sharedKey ?: return null
+        return engines.maxByOrNull { Homes.weight(key, it.listed.id) }?.listed?.id
+    }
+
+    private companion object {
+        /** Costs that differ by less are taken as equal, so that entries don't all choose the same, in milliseconds. */
+        const val NEAR_MILLIS = 2.0
+
+        /** An upstream that has sent nothing for this long after a request gets no other, in milliseconds. */
+        const val SILENCE_MILLIS = 600L
+
+        /** How many times longer than expected reading may take before an engine counts as silent. */
+        const val SILENCE_FACTOR = 3.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
@@ -0,0 +1,22 @@
+package marigoldward.core.dispatch
+
+/** Where a request goes. */
+public sealed interface Placement {
+    /** [upstream] does it all; it is expected to read [tokensToRead] tokens. */
+    public data class Whole(val upstream: ListedUpstream, val tokensToRead: Int) : Placement
+
+    /** [prefill] reads [tokensToRead] tokens of the prompt, [decode] takes the KV cache from it and generates. */
+    public data class Split(val prefill: ListedUpstream, val decode: ListedUpstream, val tokensToRead: Int) : Placement
+
+    /** Nothing can take it now. */
+    public data class None(val reason: Reason) : Placement
+
+    /** Why nothing can take a request. */
+    public enum class Reason {
+        /** The directory lists no upstream of the service that takes work. */
+        NO_UPSTREAM,
+
+        /** All that are listed failed lately or were tried already. */
+        NONE_USABLE,
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -0,0 +1,72 @@
+package marigoldward.core.dispatch
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+
+/**
+ * What one entry knows of one upstream.
+ *
+ * @property attempts the entry's own attempts there, by number
+ * @property report what the upstream last said of its load, or null
+ * @property reportMillis when [report] came, in milliseconds of monotonic time
+ * @property ownAtReport how many of the entry's own attempts were there when [report] came
+ * @property prefixes when the entry last sent each prefix there, by key; the oldest first
+ */
+public data class UpstreamRecord(
+    val listed: ListedUpstream,
+    val health: UpstreamHealth,
+    val attempts: PersistentMap<Long, Attempt>,
+    val report: ReportedLoad?,
+    val reportMillis: Long,
+    val ownAtReport: Int,
+    val prefixes: PersistentMap<Long, Long>,
+) {
+    /** The prompt tokens that the entry's own attempts still have to read there. */
+    val ownReadingTokens: Int get() = attempts.values.sumOf { if (it.isReading) it.tokensToRead else 0 }
+
+    /** The requests that are there at [nowMillis]: others' by the last report while that is fresh, and the own. */
+    public fun requests(nowMillis: Long): Int = attempts.size + othersRequests(nowMillis)
+
+    /** The requests of others that are there by the last report, 0 once that is old. */
+    public fun othersRequests(nowMillis: Long): Int {
+        val known = report ?: return 0
+        if (nowMillis - reportMillis > REPORT_LIFE_MILLIS) return 0
+        return maxOf(0, known.running + known.waiting - ownAtReport)
+    }
+
+    /** Returns the tokens of [prompt] that the upstream has to read as far as the entry knows. */
+    public fun tokensToRead(prompt: Prompt, isHome: Boolean, nowMillis: Long): Int {
+        val known = prompt.prefixKeys.indexOfLast { key -> isCached(key, nowMillis) }
+        val cachedParts = if (isHome) maxOf(known, prompt.parts.size - 2) else known
+        val cachedTokens = prompt.parts.take(cachedParts + 1).sumOf { it.tokens }
+        return maxOf(1, prompt.promptTokens - cachedTokens)
+    }
+
+    /** Whether the prefix [key] was sent there lately. */
+    public fun isCached(key: Long, nowMillis: Long): Boolean {
+        val usedMillis = prefixes[key] ?: return false
+        return nowMillis - usedMillis < PREFIX_LIFE_MILLIS
+    }
+
+    internal fun withPrefixes(prompt: Prompt, nowMillis: Long): UpstreamRecord {
+        val extended = prompt.prefixKeys.dropLast(1).fold(prefixes) { known, key ->
+            known.remove(key).put(key, nowMillis)
+        }
+        val surplus = extended.keys.take(maxOf(0, extended.size - MAX_PREFIXES))
+        return copy(prefixes = surplus.fold(extended) { known, key -> known.remove(key) })
+    }
+
+    /** Creates records. */
+    public companion object {
+        /** How long a report of load says anything, in milliseconds: about the time that a request takes. */
+        private const val REPORT_LIFE_MILLIS = 400L
+
+        /** How long a prefix is taken to stay cached, in milliseconds: engines keep what is used several times a minute. */
+        private const val PREFIX_LIFE_MILLIS = 20_000L
+        private const val MAX_PREFIXES = 512
+
+        /** Returns the record of an upstream that was just listed. */
+        public fun fromListed(listed: ListedUpstream): UpstreamRecord =
+            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, persistentMapOf())
+    }
+}
--- a/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
@@ -6,6 +6,7 @@
  * @property commitIndex every entry up to here can no longer be lost
  * @property electionDeadlineMillis when to seek votes unless a leader is heard before, in milliseconds
  * @property leaderHeardMillis when a leader was last heard, in milliseconds
+ * @property currentMillis when this replica last had all that its leader had committed, in milliseconds
  * @property random the state of the generator that spreads election timeouts
  */
 public data class ReplicaState(
@@ -17,6 +18,7 @@
     val commitIndex: Long,
     val electionDeadlineMillis: Long,
     val leaderHeardMillis: Long,
+    val currentMillis: Long,
     val random: Long,
 ) {
     /** Whether this replica leads. */
@@ -34,6 +36,19 @@
     /** Whether this replica may vote and lead. */
     val isVoter: Boolean get() = self in log.members.voters
 
+    /**
+     * Returns for how long at most this replica may have missed committed entries at [nowMillis], in milliseconds.
+     *
+     * A leader counts from when a quorum last answered it, a follower from when it last had all that its leader had.
+     */
+    public fun staleMillis(nowMillis: Long): Long {
+        val leader = role as? ReplicaRole.Leader ?: return nowMillis - currentMillis
+        val hasCommitted = log.termAtOrNull(commitIndex) == hardState.term
+        if (!hasCommitted) return nowMillis - currentMillis
+        val heard = log.members.voters.map { if (it == self) nowMillis else leader.progress[it]?.heardMillis ?: 0 }
+        return nowMillis - heard.sortedDescending()[log.members.quorumSize - 1]
+    }
+
     /** Creates states. */
     public companion object {
         private const val LONG_AGO_MILLIS = -1_000_000_000L
@@ -57,6 +72,7 @@
                     commitIndex = log.start.index,
                     electionDeadlineMillis = 0,
                     leaderHeardMillis = LONG_AGO_MILLIS,
+                    currentMillis = LONG_AGO_MILLIS,
                     random = seed,
                 )
             return state.withElectionDeadline(nowMillis)
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/Followers.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/Followers.kt
@@ -8,7 +8,9 @@
 import marigoldward.core.replication.ReplicaRole
 import marigoldward.core.replication.ReplicaState
 import marigoldward.core.replication.ReplicaStep
+import marigoldward.core.replication.unchanged
 import marigoldward.core.replication.with
+import marigoldward.core.replication.unchanged
 import marigoldward.core.replication.withElectionDeadline
 
 /** How a replica takes what its leader sends. */
@@ -25,7 +27,7 @@
             val hint = maxOf(append.previousIndex - 1, follower.commitIndex)
             return reply(follower, from, accepted = false, hint, append.round)
         }
-        return store(follower, from, append)
+        return store(follower, from, append, nowMillis)
     }
 
     fun install(state: ReplicaState, from: ReplicaId, install: ReplicaMessage.Install, nowMillis: Long): ReplicaStep {
@@ -47,7 +49,12 @@
             .copy(role = ReplicaRole.Follower(leader), leaderHeardMillis = nowMillis)
     }
 
-    private fun store(state: ReplicaState, from: ReplicaId, append: ReplicaMessage.Append): ReplicaStep {
+    private fun store(
+        state: ReplicaState,
+        from: ReplicaId,
+        append: ReplicaMessage.Append,
+        nowMillis: Long,
+    ): ReplicaStep {
         val fresh = append.entries.dropWhile { isKnown(state.log, it) }
         val stored = if (fresh.isEmpty()) state else state.copy(log = replaceTail(state, fresh))
         val persist = if (fresh.isEmpty()) emptyList() else listOf(ReplicaAction.PersistEntries(fresh))
@@ -55,9 +62,15 @@
         val commitIndex = minOf(append.commitIndex, matchIndex)
         return ReplicaStep(stored, persist)
             .then { commit(it, commitIndex) }
+            .then { noteCurrent(it, append.commitIndex, nowMillis) }
             .then { reply(it, from, accepted = true, matchIndex, append.round) }
     }
 
+    private fun noteCurrent(state: ReplicaState, leaderCommitIndex: Long, nowMillis: Long): ReplicaStep {
+        if (state.commitIndex < leaderCommitIndex) return state.unchanged()
+        return state.copy(currentMillis = nowMillis).unchanged()
+    }
+
     private fun isKnown(log: ReplicaLog, entry: LogEntry): Boolean =
         entry.index <= log.start.index || log.termAtOrNull(entry.index) == entry.term
 
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/MemberChanges.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/MemberChanges.kt
@@ -73,12 +73,12 @@
         val members = state.log.members
         if (replica in members.learners) return null
         if (replica !in members.voters) return ReplicaRefusal.UnsafeChange("$replica is not a member")
-        val successor = members.learnerOrNull(replica.name)
+        val live = liveMembers(state, role, nowMillis)
+        val successor = members.learnerOrNull(replica.name) ?: members.learners.firstOrNull()
         val otherLearner = members.learners.firstOrNull { it.name != replica.name }
         val remaining = changed(members, MemberChange.Remove(replica))
-        val live = liveMembers(state, role, nowMillis)
         return when {
-            otherLearner != null -> ReplicaRefusal.ChangeUnderWay("$otherLearner is still a learner")
+            otherLearner != null && replica in live -> ReplicaRefusal.ChangeUnderWay("$otherLearner is still a learner")
             successor == null -> ReplicaRefusal.UnsafeChange("no learner is there to replace $replica")
             !isCaughtUp(state, role, successor, nowMillis) ->
                 ReplicaRefusal.UnsafeChange("$successor has not caught up")
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/routes/RouteConfiguration.kt
@@ -0,0 +1,77 @@
+package marigoldward.core.routes
+
+import marigoldward.core.Outcome
+import marigoldward.core.model.PoolName
+
+/**
+ * An operator's routes, services and limits, checked whole.
+ *
+ * @property version numbers configurations; the highest is in force
+ */
+public class RouteConfiguration private constructor(
+    public val version: Long,
+    public val routes: List<Route>,
+    public val services: Map<PoolName, ServiceDeclaration>,
+    public val limits: CallerLimits,
+) {
+    private val byHost: Map<String, List<Route>> =
+        routes
+            .groupBy { it.host }
+            .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+
+    /** Returns the route of [host] with the longest prefix that begins [path], or null if none matches. */
+    public fun routeOrNull(host: String, path: String): Route? =
+        byHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** Creates configurations. */
+    public companion object {
+        /** Returns the configuration if it can be put in force, or the first thing that is wrong with it. */
+        public fun check(
+            version: Long,
+            routes: List<Route>,
+            services: List<ServiceDeclaration>,
+            limits: CallerLimits,
+        ): Outcome<RouteConfiguration, RouteProblem> {
+            val declared = services.associateBy { it.name }
+            val problem =
+                routes.firstNotNullOfOrNull { problemOrNull(it, declared) }
+                    ?: samePlaceOrNull(routes)
+                    ?: sameServiceOrNull(services)
+            return if (problem == null) {
+                Outcome.Success(RouteConfiguration(version, routes, declared, limits))
+            } else {
+                Outcome.Failure(problem)
+            }
+        }
+
+        private fun problemOrNull(route: Route, services: Map<PoolName, ServiceDeclaration>): RouteProblem? {
+            val unknown = route.shares.firstOrNull { it.service !in services }
+            val place = "route \"${route.name}\""
+            return when {
+                unknown != null -> RouteProblem.UnknownService(route.name, unknown.service.text)
+                route.shares.any { it.weight < 0 } -> RouteProblem.BadValue(place, "a weight is negative")
+                route.shares.sumOf { it.weight } == 0L -> RouteProblem.NoWeight(route.name)
+                route.timeoutMillis == 0L -> RouteProblem.NoTimeout(route.name)
+                route.timeoutMillis < 0 -> RouteProblem.BadValue(place, "the timeout is negative")
+                route.maxAttempts < 1 -> RouteProblem.BadValue(place, "no attempt is allowed")
+                !isPrefix(route.pathPrefix) ->
+                    RouteProblem.BadValue(place, "the path prefix does not begin and end with a slash")
+                else -> null
+            }
+        }
+
+        private fun isPrefix(prefix: String): Boolean = prefix.startsWith("/") && prefix.endsWith("/")
+
+        private fun samePlaceOrNull(routes: List<Route>): RouteProblem? = routes
+            .groupBy { it.host to it.pathPrefix }
+            .values
+            .firstOrNull { it.size > 1 }
+            ?.let { RouteProblem.SamePlace(it[0].name, it[1].name) }
+
+        private fun sameServiceOrNull(services: List<ServiceDeclaration>): RouteProblem? = services
+            .groupBy { it.name }
+            .values
+            .firstOrNull { it.size > 1 }
+            ?.let { RouteProblem.BadValue("service \"${it[0].name}\"", "it is declared twice") }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -0,0 +1,60 @@
+package marigoldward.gateway
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import marigoldward.core.routes.Route
+
+/** The metrics of an entry. */
+internal object GatewayMetrics {
+    private const val MILLIS_PER_SECOND = 1_000.0
+    private val BOUNDS_SECONDS = doubleArrayOf(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0)
+
+    val connections: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_upstream_connections_total")
+            .help("Connections opened to upstreams")
+            .register()
+    private val requests: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_requests_total")
+            .help("Requests that ended, by what became of them")
+            .labelNames("priority", "kind", "outcome")
+            .register()
+    private val attempts: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_attempts_total")
+            .help("Attempts at upstreams, by how they ended")
+            .labelNames("end")
+            .register()
+    private val firstSeconds: Histogram = histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
+    private val wholeSeconds: Histogram = histogram("marigoldward_request_seconds", "Time to the end of an answer")
+    val routesVersion: Gauge =
+        Gauge.builder().name("marigoldward_routes_version").help("The configuration of routes in force").register()
+    val directoryAge: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_directory_age_seconds")
+            .help("How long ago the directory of upstreams was read")
+            .register()
+
+    fun attemptEnded(label: String) = attempts.labelValues(label).inc()
+
+    fun requestEnded(route: Route, outcome: String, firstMillis: Long?, wholeMillis: Long) {
+        val priority = route.priority.toString()
+        requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
+        wholeSeconds.labelValues(priority).observe(wholeMillis / MILLIS_PER_SECOND)
+        if (firstMillis != null) firstSeconds.labelValues(priority).observe(firstMillis / MILLIS_PER_SECOND)
+    }
+
+    private fun histogram(name: String, help: String): Histogram = Histogram
+        .builder()
+        .name(name)
+        .help(help)
+        .labelNames("priority")
+        .classicUpperBounds(*BOUNDS_SECONDS)
+        .register()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
@@ -0,0 +1,19 @@
+package marigoldward.gateway.caller
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+import marigoldward.core.routes.CallerLimits
+
+/** Decodes requests; one whose end could be understood in two ways is refused. */
+internal class RequestDecoder(limits: CallerLimits) : HttpRequestDecoder(config(limits)) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("the request has both a length and chunks")
+
+    private companion object {
+        fun config(limits: CallerLimits): HttpDecoderConfig = HttpDecoderConfig()
+            .setMaxInitialLineLength(limits.maxHeaderBytes)
+            .setMaxHeaderSize(limits.maxHeaderBytes)
+            .setAllowDuplicateContentLengths(false)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
@@ -0,0 +1,40 @@
+package marigoldward.gateway.session
+
+import io.netty.channel.EventLoop
+import io.netty.util.concurrent.ScheduledFuture
+import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.RetryAllowance
+import marigoldward.core.model.PoolName
+import marigoldward.gateway.Dialect
+import marigoldward.gateway.upstream.UpstreamPool
+import marigoldward.support.time.MonotonicClock
+import java.util.concurrent.TimeUnit
+
+/** What all sessions share. Used by the loop's thread only. */
+internal class ServingContext(
+    private val loop: EventLoop,
+    val dialect: Dialect,
+    val dispatcher: Dispatcher,
+    val pool: UpstreamPool,
+    private val newAllowance: () -> RetryAllowance,
+) {
+    private val allowances = HashMap<PoolName, RetryAllowance>()
+
+    /** How many entries share the budget for repeats. */
+    var entries: Int = UNKNOWN_ENTRIES
+
+    /** The time of all decisions, in milliseconds of monotonic time. */
+    fun nowMillis(): Long = MonotonicClock.nowMillis()
+
+    /** Returns this entry's part of the budget for sending requests to [service] more than once. */
+    fun allowance(service: PoolName): RetryAllowance = allowances.getOrPut(service, newAllowance)
+
+    /** Calls [action] on the loop's thread, [delayMillis] milliseconds from now. */
+    fun later(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
+        loop.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
+
+    private companion object {
+        /** The number of entries until a control instance has told it; on the large side, so that little is spent. */
+        const val UNKNOWN_ENTRIES = 32
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -0,0 +1,51 @@
+package marigoldward.gateway.session
+
+import marigoldward.core.dispatch.Attempt
+import marigoldward.core.dispatch.AttemptEnd
+import marigoldward.core.dispatch.UpstreamRecord
+import marigoldward.gateway.GatewayMetrics
+import marigoldward.support.log.EventLog
+
+/** The lines about requests: one for each decision on one. */
+internal object SessionLog {
+    private val log = EventLog.fromName("session")
+
+    fun sent(request: SessionRequest, attempt: Attempt, step: String, record: UpstreamRecord?, leftMillis: Long) {
+        log.info("sent") {
+            field("request", request.id)
+            field("step", step)
+            field("upstream", attempt.upstream)
+            field("left_ms", leftMillis)
+            field("tokens", attempt.tokensToRead)
+            field("own", record?.attempts?.size)
+            field("reported", record?.report?.let { "${it.running}+${it.waiting}" })
+            field("report_age_ms", record?.report?.let { attempt.startedMillis - record.reportMillis })
+            field("failures", record?.health?.failures)
+        }
+    }
+
+    fun attemptEnded(request: SessionRequest, attempt: Attempt, end: AttemptEnd, reason: String, nowMillis: Long) {
+        GatewayMetrics.attemptEnded(end.name.lowercase())
+        if (end == AttemptEnd.ANSWERED) return
+        log.info("attempt_ended") {
+            field("request", request.id)
+            field("upstream", attempt.upstream)
+            field("end", end.name.lowercase())
+            field("reason", reason)
+            field("took_ms", nowMillis - attempt.startedMillis)
+        }
+    }
+
+    fun ended(request: SessionRequest, outcome: String, status: Int?, firstMillis: Long?, nowMillis: Long) {
+        val wholeMillis = nowMillis - request.arrivedMillis
+        GatewayMetrics.requestEnded(request.route, outcome, firstMillis, wholeMillis)
+        log.info("ended") {
+            field("request", request.id)
+            field("route", request.route.name)
+            field("outcome", outcome)
+            field("status", status)
+            field("first_ms", firstMillis)
+            field("took_ms", wholeMillis)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionRequest.kt
@@ -0,0 +1,28 @@
+package marigoldward.gateway.session
+
+import marigoldward.core.model.PoolName
+import marigoldward.core.routes.Route
+import marigoldward.core.routes.ServiceDeclaration
+import marigoldward.gateway.Dialect
+import marigoldward.gateway.caller.CallerExchange
+import marigoldward.gateway.message.RequestHead
+
+/**
+ * One request to be served.
+ *
+ * @property id the caller's id of it
+ * @property deadlineMillis when it must have ended, in milliseconds of monotonic time
+ */
+internal class SessionRequest(
+    val id: String,
+    val exchange: CallerExchange,
+    val facts: Dialect.RequestFacts,
+    val route: Route,
+    val service: ServiceDeclaration,
+    val deadlineMillis: Long,
+) {
+    val head: RequestHead get() = exchange.request.head
+    val body: ByteArray get() = exchange.request.body
+    val arrivedMillis: Long get() = exchange.request.arrivedMillis
+    val serviceName: PoolName get() = service.name
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/AnswerDecoder.kt
@@ -0,0 +1,27 @@
+package marigoldward.gateway.upstream
+
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/** Decodes answers, of which those to a `HEAD` request have no body. */
+internal class AnswerDecoder : HttpResponseDecoder(CONFIG) {
+    /** Whether the request under way is a `HEAD` request. */
+    var isHeadRequest: Boolean = false
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        isHeadRequest || super.isContentAlwaysEmpty(message)
+
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("the answer has both a length and chunks")
+
+    private companion object {
+        const val MAX_LINE_BYTES = 8_192
+        const val MAX_HEADER_BYTES = 32_768
+        val CONFIG: HttpDecoderConfig =
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setValidateHeaders(false)
+    }
+}
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.required
 import marigoldward.core.Outcome
 import marigoldward.core.config.SourceFile
+import marigoldward.support.log.EventLog
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
 import marigoldward.support.settings.SettingsProblem
@@ -24,6 +25,8 @@
     /** The exit code of a process that could not start, for example since an address is in use. */
     public const val EXIT_START: Int = 1
 
+    private val log = EventLog.fromName("program")
+
     /** Handles `--version`, then reads `--settings FILE` and returns the file. */
     public fun settingsFile(name: String, arguments: Array<String>): File {
         if (arguments.singleOrNull() == "--version") printVersion(name)
@@ -55,6 +58,21 @@
         }
     }
 
+    /** Reads the settings in [text] of [file] while the process runs; null, with a line in the log, if they are not valid. */
+    public fun <T> reloadSettings(file: File, text: String, read: (IniDocument, ProblemList) -> T): T? {
+        val problems = ProblemList.create()
+        val settings =
+            when (val document = IniDocument.parse(SourceFile(file.path, text))) {
+                is Outcome.Failure -> null.also { document.error.forEach { problems.add(it.file, it.line, it.message) } }
+                is Outcome.Success -> read(document.value, problems)
+            }
+        if (problems.isNotEmpty()) {
+            log.warn("settings_not_valid") { field("problem", problems.toList().first()) }
+            return null
+        }
+        return settings
+    }
+
     /** Returns what [start] starts; if it can't, prints why and ends the process with [EXIT_START]. */
     public fun <T> startOrExit(start: () -> T): T = try {
         start()
--- a/wire/src/main/kotlin/marigoldward/wire/peer/PeerRpc.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/peer/PeerRpc.kt
@@ -14,6 +14,6 @@
         unary(SERVICE, "Deliver", PeerEnvelope.serializer(), Acknowledgement.serializer())
 
     /** Announces a replica with an empty disk. */
-    public val JOIN: MethodDescriptor<JoinAnnouncement, Acknowledgement> =
-        unary(SERVICE, "Join", JoinAnnouncement.serializer(), Acknowledgement.serializer())
+    public val JOIN: MethodDescriptor<JoinAnnouncement, JoinReply> =
+        unary(SERVICE, "Join", JoinAnnouncement.serializer(), JoinReply.serializer())
 }
