--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -7,8 +7,11 @@
 import marigoldward.control.replica.ReplicaDuty
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.control.routes.RouteStore
+import marigoldward.control.stages.EngineControl
+import marigoldward.control.stages.StageDuty
 import marigoldward.control.storage.ReplicaStore
 import marigoldward.core.control.ControlState
+import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.MembershipPlanner
 import marigoldward.core.replication.ReplicaId
@@ -31,6 +34,7 @@
     private val store: ReplicaStore,
     reader: RouteDocumentReader,
     directorySource: DirectorySource,
+    engines: EngineControl,
 ) : AutoCloseable {
     private val identity = ClusterIdentity(settings.clusterId, settings.key)
     private val timer = TimerService.start()
@@ -45,7 +49,11 @@
             MembershipPlanner.forLosses(settings.lostInstances),
         )
     private val duty = Duty.start("replica", RING_EVENTS, replica::handle)
-    private val directory = DirectoryDuty(directorySource, feed::directoryRead)
+    private val directory = DirectoryDuty(directorySource, ::directoryRead)
+
+    @Volatile
+    private var listed = emptyList<ListedUpstream>()
+    private val stages = StageDuty(settings.ip, engines, duty, settings.leaseMillis + SETTLE_MARGIN_MILLIS) { listed }
 
     @Volatile
     private var seeds = settings.seedInstances
@@ -79,7 +87,7 @@
     override fun close() {
         log.info("ending")
         duty.put(ReplicaDutyEvent.Leave)
-        listOf(timer, server, directory, duty, links, store).forEach { part -> runCatching { part.close() } }
+        listOf(timer, server, stages, directory, duty, links, store).forEach { part -> runCatching { part.close() } }
         log.info("ended")
     }
 
@@ -87,10 +95,16 @@
         timer.subscribe(TICK_MILLIS) { duty.offer(ReplicaDutyEvent.Tick) }
         timer.subscribe(BEAT_MILLIS, feed::beat)
         timer.subscribe(DIRECTORY_MILLIS, directory::poll)
+        timer.subscribe(STAGES_MILLIS, stages::poll)
         timer.subscribe(JOIN_MILLIS, ::announceIfOutside)
         directory.poll()
     }
 
+    private fun directoryRead(reading: DirectoryDuty.DirectoryReading) {
+        listed = reading.upstreams
+        feed.directoryRead(reading)
+    }
+
     /** Any instance of the cluster may be a peer: identity is checked with each call. */
     private fun isPeer(name: InstanceId): Boolean = settings.rpcAddressOrNull(name) != null
 
@@ -126,6 +140,12 @@
 
         /** How often the directory is read, in milliseconds; a third of the time in which a change must be known. */
         private const val DIRECTORY_MILLIS = 900L
+
+        /** How often the leader looks at the engines, in milliseconds; each look is a call to each. */
+        private const val STAGES_MILLIS = 1_000L
+
+        /** How much longer than a lease a new leader waits before it orders, in milliseconds. */
+        private const val SETTLE_MARGIN_MILLIS = 1_000L
         private const val JOIN_MILLIS = 300L
 
         /** Longer than an election takes, in milliseconds. */
@@ -137,9 +157,10 @@
             settings: ClusterSettings,
             reader: RouteDocumentReader,
             directory: DirectorySource,
+            engines: EngineControl,
         ): ClusterProgram {
             val store = ClusterStore.open(settings)
-            val program = ClusterProgram(settings, store, reader, directory)
+            val program = ClusterProgram(settings, store, reader, directory, engines)
             program.startTimers()
             log.info("started") {
                 field("replica", store.replica)
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
@@ -20,6 +20,7 @@
  * @property isFirstStart whether the whole system starts for the first time, with empty disks
  * @property lostInstances how many instances with a disk may be lost at once
  * @property directory where the list of upstreams is read
+ * @property leaseMillis how long another sender of orders may still act, in milliseconds
  * @property metricsPort the port of the metrics page
  */
 public data class ClusterSettings(
@@ -35,6 +36,7 @@
     val clusterId: String,
     val key: KeyFile,
     val directory: InetSocketAddress,
+    val leaseMillis: Long,
 ) {
     /** Where the system's own calls reach the instance [name], or null if the name is no IP number. */
     public fun rpcAddressOrNull(name: InstanceId): InetSocketAddress? = parseAddressOrNull("$name:$rpcPort")
@@ -45,6 +47,7 @@
     /** Reads settings. */
     public companion object {
         private const val MAX_PORT = 65_535L
+        private const val MAX_LEASE_MILLIS = 600_000L
         private const val MAX_LOST_INSTANCES = 3L
 
         /** Reads the settings in [document] and adds what is wrong to [problems]. */
@@ -65,6 +68,7 @@
                     clusterId = section.text("cluster_id"),
                     key = KeyFile.fromSecret(section.text("cluster_key")),
                     directory = section.address("directory"),
+                    leaseMillis = section.whole("lease_ms", 1..MAX_LEASE_MILLIS),
                 )
             section.finish()
             return settings
--- a/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
@@ -85,6 +85,19 @@
         override fun onConfirmed() = answer(onLeading())
     }
 
+    /** The question whether this replica leads; [term] is the one in which it did when it was asked. */
+    class Leading(private val term: Long, private val answer: (Long?) -> Unit) : PendingRequest {
+        override fun onCommitted(outcome: ControlOutcome) = error("a question is not in the log")
+
+        override fun onRefused(refusal: ReplicaRefusal) = answer(null)
+
+        override fun onUnknown() = answer(null)
+
+        override fun onWithdrawn(reason: String) = answer(null)
+
+        override fun onConfirmed() = answer(term)
+    }
+
     /** A change of members that this replica makes by itself. */
     data object OwnChange : PendingRequest {
         override fun onCommitted(outcome: ControlOutcome) = Unit
--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDutyEvent.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDutyEvent.kt
@@ -29,6 +29,9 @@
 
     data class ReadRoutes(val answer: (RoutesRead) -> Unit) : ReplicaDutyEvent
 
+    /** Asks for the term in which this replica leads, confirmed by a quorum; null if it does not. */
+    data class ConfirmLeading(val answer: (Long?) -> Unit) : ReplicaDutyEvent
+
     /** The process ends; another replica should lead. */
     data object Leave : ReplicaDutyEvent
 
--- a/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
@@ -47,6 +47,7 @@
             is ReplicaDutyEvent.Replace -> replace(event, view, nowMillis)
             is ReplicaDutyEvent.Lease -> lease(event, view, nowMillis)
             is ReplicaDutyEvent.ReadEngines -> readEngines(event)
+            is ReplicaDutyEvent.ConfirmLeading -> confirmLeading(event, view)
             is ReplicaDutyEvent.ReadRoutes -> readRoutes(event)
             is ReplicaDutyEvent.ReadStatus -> {
                 event.answer(StatusReport.from(view, joiningNow(nowMillis), event.withBundle))
@@ -156,6 +157,11 @@
         return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
     }
 
+    private fun confirmLeading(event: ReplicaDutyEvent.ConfirmLeading, view: ReplicaView): List<RequestedStep> {
+        val number = pending.add(PendingRequest.Leading(view.replica.hardState.term, event.answer))
+        return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
+    }
+
     private fun joiningNow(nowMillis: Long): List<ReplicaId> =
         joining.values.filter { nowMillis - it.heardMillis < JOINING_TIMEOUT_MILLIS }.map { it.replica }
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -6,7 +6,6 @@
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
 import marigoldward.core.model.UpstreamId
-import marigoldward.core.routes.EngineDeclaration
 import kotlin.random.Random
 
 /**
@@ -44,32 +43,49 @@
         return Placement.Whole(chosen.listed, 0)
     }
 
-    /** Returns where a generation with [prompt] on the engines of [service] goes, other than to [tried]. */
-    public fun place(
-        service: PoolName,
-        engine: EngineDeclaration,
-        prompt: Prompt,
-        tried: Set<UpstreamId>,
-        nowMillis: Long,
-    ): Placement {
-        val usable = usable(service, tried, nowMillis)
+    /** Returns where the generation [request] goes, other than to [tried]. */
+    public fun place(request: GenerationRequest, tried: Set<UpstreamId>, nowMillis: Long): Placement {
+        val prompt = request.prompt
+        val usable = usable(request.service, tried, nowMillis)
         val decoders = usable.filter { it.listed.stage != EngineStage.PREFILL }
-        if (decoders.isEmpty()) return Placement.None(reason(service))
+        if (decoders.isEmpty()) return Placement.None(reason(request.service))
         val readers = usable.filter { it.listed.stage == EngineStage.PREFILL }
-        val view = GenerationView(engine, prompt, dataCentre, costs, nowMillis)
-        val decodeHome = homeOrNull(decoders, prompt)
-        val direct = decoders.map { view.whole(it, it.listed.id == decodeHome) }
-        val readHome = homeOrNull(readers, prompt)
+        val view = GenerationView(request, dataCentre, costs, nowMillis)
+        val direct = decoders.map { view.whole(it, it.tokensToRead(prompt, isHome = false, nowMillis)) }
+        val home = homeOrNull(readers, prompt)
         val split = readers.flatMap { reader ->
-            val tokens = reader.tokensToRead(prompt, reader.listed.id == readHome, nowMillis)
+            val tokens = reader.tokensToRead(prompt, reader.listed.id == home, nowMillis)
             decoders.map { decoder -> view.split(reader, decoder, tokens) }
         }
-        return (direct + split).minBy { it.costMillis + random.nextDouble() * NEAR_MILLIS }.placement
+        val best = (direct + split).minBy { it.price + random.nextDouble() * NEAR_PRICE }
+        val isTooLate = best.expectedMillis > request.leftMillis * HOPE_PART
+        return if (isTooLate) Placement.None(Placement.Reason.TOO_LATE) else best.placement
+    }
+
+    /** Returns the engine that takes over the KV cache that [reader] has read for [request], or null if there is none. */
+    public fun decoderOrNull(
+        request: GenerationRequest,
+        reader: ListedUpstream,
+        tried: Set<UpstreamId>,
+        nowMillis: Long,
+    ): ListedUpstream? {
+        val record = records[reader.id] ?: UpstreamRecord.fromListed(reader)
+        val view = GenerationView(request, dataCentre, costs, nowMillis)
+        return usable(request.service, tried, nowMillis)
+            .filter { it.listed.stage != EngineStage.PREFILL }
+            .minByOrNull { view.split(record, it, 1).price }
+            ?.listed
     }
 
     /** Notes that a request is sent to [upstream] at [nowMillis] and has [tokensToRead] prompt tokens to read there. */
-    public fun started(upstream: UpstreamId, prompt: Prompt?, tokensToRead: Int, nowMillis: Long): Attempt {
-        val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, nowMillis)
+    public fun started(
+        upstream: UpstreamId,
+        prompt: Prompt?,
+        tokensToRead: Int,
+        priority: Int,
+        nowMillis: Long,
+    ): Attempt {
+        val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, priority, nowMillis)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
             if (prompt == null) counted else counted.withPrefixes(prompt, nowMillis)
@@ -77,11 +93,18 @@
         return attempt
     }
 
-    /** Notes that the prompt of [attempt] has been read. */
-    public fun promptRead(attempt: Attempt) {
+    /** Notes at [nowMillis] that the prompt of [attempt] has been read. */
+    public fun promptRead(attempt: Attempt, nowMillis: Long) {
         update(attempt.upstream) { record ->
-            val current = record.attempts[attempt.number] ?: return@update record
-            record.copy(attempts = record.attempts.put(attempt.number, current.copy(isReading = false)))
+            val current = record.attempts[attempt.number]
+            if (current == null || !current.isReading) return@update record
+            val factor = if (record.listed.stage == EngineStage.PREFILL) 1.0 else costs.ownReadFactor
+            val expectedMillis = factor * costs.readMillis(current.tokensToRead)
+            val delayMillis = maxOf(0.0, nowMillis - current.startedMillis - expectedMillis)
+            record.copy(
+                attempts = record.attempts.put(attempt.number, current.copy(isReading = false)),
+                readDelays = record.readDelays.put(current.priority, ReadDelay(delayMillis, nowMillis)),
+            )
         }
     }
 
@@ -124,15 +147,15 @@
     private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean {
         val health = record.health
         val isTried = health.failures > 0 && record.attempts.isNotEmpty()
-        val isSilent = record.attempts.values.any { attempt ->
-            health.heardMillis < attempt.startedMillis &&
-                nowMillis - attempt.startedMillis > silenceMillis(record, attempt)
-        }
-        return nowMillis >= health.ejectedUntilMillis && !isTried && !isSilent
+        return nowMillis >= health.ejectedUntilMillis && !isTried && !isSilent(record, nowMillis)
     }
 
-    private fun silenceMillis(record: UpstreamRecord, attempt: Attempt): Long =
-        SILENCE_MILLIS + (costs.readMillis(attempt.tokensToRead + record.ownReadingTokens) * SILENCE_FACTOR).toLong()
+    /** An engine that reads prompts says nothing until it has read one, however long others wait. */
+    private fun isSilent(record: UpstreamRecord, nowMillis: Long): Boolean = record.attempts.values.any { attempt ->
+        !attempt.isReading &&
+            record.health.heardMillis < attempt.startedMillis &&
+            nowMillis - attempt.startedMillis > SILENCE_MILLIS
+    }
 
     private fun reason(service: PoolName): Placement.Reason =
         if (records.values.any { it.listed.service == service && !it.listed.isLeaving }) {
@@ -146,7 +169,7 @@
         return ahead * costs.fullServiceMillis +
             record.health.failureRate * costs.failureMillis +
             coldMillis(record) +
-            costs.callMillis(record.listed.dataCentre != dataCentre)
+            if (record.listed.dataCentre == dataCentre) 0.0 else costs.remoteCallMillis
     }
 
     private fun coldMillis(record: UpstreamRecord): Double = if (record.listed.isCold) costs.coldMillis else 0.0
@@ -164,10 +187,14 @@
         /** Costs that differ by less are taken as equal, so that entries don't all choose the same, in milliseconds. */
         const val NEAR_MILLIS = 2.0
 
+        /** Prices that differ by less are taken as equal. */
+        const val NEAR_PRICE = 0.005
+
+        /** The part of the time that is left after which a first event does not help any more: the rest takes time too. */
+        const val HOPE_PART = 0.8
+
         /** An upstream that has sent nothing for this long after a request gets no other, in milliseconds. */
         const val SILENCE_MILLIS = 600L
 
-        /** How many times longer than expected reading may take before an engine counts as silent. */
-        const val SILENCE_FACTOR = 3.0
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -1,61 +1,72 @@
 package marigoldward.core.dispatch
 
 import marigoldward.core.model.DataCentre
-import marigoldward.core.routes.EngineDeclaration
 
 /** What each way to serve one generation costs. */
 internal class GenerationView(
-    private val engine: EngineDeclaration,
-    private val prompt: Prompt,
+    private val request: GenerationRequest,
     private val dataCentre: DataCentre,
     private val costs: PlacementCosts,
     private val nowMillis: Long,
 ) {
-    /** One way and its cost. */
-    data class Priced(val placement: Placement, val costMillis: Double)
-
-    /** One engine that generates reads the prompt itself, between the tokens of its other streams. */
-    fun whole(decoder: UpstreamRecord, isHome: Boolean): Priced {
-        val tokens = decoder.tokensToRead(prompt, isHome, nowMillis)
-        val ahead = waitingTokens(decoder)
-        val readMillis = costs.ownReadFactor * costs.readMillis(tokens + ahead)
-        val disturbed = decoder.requests(nowMillis) * costs.disturbMillisPerStream * tokens / TOKENS_PER_UNIT
-        val costMillis = readMillis + disturbed + common(decoder)
-        return Priced(Placement.Whole(decoder.listed, tokens), costMillis)
+    private val prompt = request.prompt
+    private val cacheGigabytes = prompt.promptTokens.toDouble() * request.engine.kvBytesPerToken / BYTES_PER_GIGABYTE
+    private val moveMillis =
+        cacheGigabytes * BYTES_PER_GIGABYTE / (maxOf(1.0, request.engine.linkMegabitsPerSecond) * BYTES_PER_MEGABIT_MILLI)
+
+    /** One way, its price, and when its first event is expected. */
+    data class Priced(val placement: Placement, val price: Double, val expectedMillis: Double)
+
+    /** One engine that generates reads [tokens] tokens itself, between the tokens of its other streams. */
+    fun whole(decoder: UpstreamRecord, tokens: Int): Priced {
+        val waitMillis = decoder.readWaitMillis(costs, request.priority, nowMillis)
+        val readMillis = costs.ownReadFactor * costs.readMillis(tokens, prompt.promptTokens)
+        val streams = maxOf(decoder.requests(nowMillis), USUAL_STREAMS)
+        val disturbed = streams * costs.disturbPrice * tokens / TOKENS_PER_UNIT
+        val expectedMillis = waitMillis + readMillis + decodeMillis(decoder)
+        val price =
+            lateness(expectedMillis) + disturbed + readAgain(tokens) + reliability(decoder) + way(decoder)
+        return Priced(Placement.Whole(decoder.listed, tokens), price, expectedMillis)
     }
 
     /** [reader] reads [tokens] tokens and [decoder] takes the KV cache over. */
     fun split(reader: UpstreamRecord, decoder: UpstreamRecord, tokens: Int): Priced {
-        val isRemoteCache = reader.listed.dataCentre != decoder.listed.dataCentre
-        val cacheBytes = prompt.promptTokens.toDouble() * engine.kvBytesPerToken
-        val moveMillis = cacheBytes / linkBytesPerMilli() * if (isRemoteCache) 2 else 1
-        val remoteMillis = if (isRemoteCache) costs.remoteCacheMillis * prompt.promptTokens / TOKENS_PER_UNIT else 0.0
-        val costMillis =
-            costs.readMillis(tokens + waitingTokens(reader)) + costs.splitMillis + moveMillis + remoteMillis +
-                failures(reader) + costs.callMillis(reader.listed.dataCentre != dataCentre) + common(decoder)
-        return Priced(Placement.Split(reader.listed, decoder.listed, tokens), costMillis)
+        val isRemote = reader.listed.dataCentre != decoder.listed.dataCentre
+        val factor = if (isRemote) costs.remoteCacheFactor else 1.0
+        val expectedMillis =
+            reader.readWaitMillis(costs, request.priority, nowMillis) + costs.readMillis(tokens, prompt.promptTokens) +
+                costs.splitMillis + moveMillis * factor + decodeMillis(decoder)
+        val price =
+            lateness(expectedMillis) + cacheGigabytes * costs.cacheGigabytePrice * factor + readAgain(tokens) +
+                reliability(reader) + reliability(decoder) + way(reader) + way(decoder)
+        return Priced(Placement.Split(reader.listed, decoder.listed, tokens), price, expectedMillis)
     }
 
-    private fun common(decoder: UpstreamRecord): Double = costs.streamMillis * decoder.requests(nowMillis) +
-        failures(decoder) +
-        costs.callMillis(decoder.listed.dataCentre != dataCentre)
+    private fun lateness(expectedMillis: Double): Double = costs.latenessPrice(expectedMillis, request.targetMillis)
 
-    private fun failures(record: UpstreamRecord): Double = record.health.failureRate * costs.failureMillis +
-        if (record.listed.isCold) costs.coldMillis else 0.0
+    private fun decodeMillis(decoder: UpstreamRecord): Double =
+        costs.firstTokenMillis + costs.streamMillis * decoder.requests(nowMillis) +
+            decoder.ownReadingTokens / costs.readTokensPerMilli
 
-    /** Others' requests at an engine that only reads are prompts of about the same size. */
-    private fun waitingTokens(record: UpstreamRecord): Int {
-        if (record.listed.stage != EngineStage.PREFILL) return record.ownReadingTokens
-        return record.ownReadingTokens + record.othersRequests(nowMillis) * OTHERS_TOKENS
+    /** The shared tokens that are read although some engine probably keeps them. */
+    private fun readAgain(tokens: Int): Double {
+        val ownTokens = prompt.promptTokens - prompt.sharedTokens
+        return maxOf(0, tokens - ownTokens) * costs.readAgainPrice / TOKENS_PER_UNIT
     }
 
-    private fun linkBytesPerMilli(): Double = maxOf(1.0, engine.linkMegabitsPerSecond) * BYTES_PER_MEGABIT_MILLI
+    private fun reliability(record: UpstreamRecord): Double = record.health.failureRate * costs.failurePrice +
+        if (record.listed.isCold) lateness(costs.coldMillis) else 0.0
+
+    private fun way(record: UpstreamRecord): Double =
+        if (record.listed.dataCentre == dataCentre) 0.0 else costs.remoteMegabytePrice * request.bodyBytes / BYTES_PER_MEGABYTE
 
     private companion object {
         const val TOKENS_PER_UNIT = 1_000.0
+        const val BYTES_PER_GIGABYTE = 1e9
+        const val BYTES_PER_MEGABYTE = 1e6
         const val BYTES_PER_MEGABIT_MILLI = 125.0
 
-        /** The tokens that a prompt of another entry has left to read on average. */
-        const val OTHERS_TOKENS = 2_000
+        /** The streams that an engine which generates is taken to have at least: other entries send there too. */
+        const val USUAL_STREAMS = 4
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
@@ -18,5 +18,8 @@
 
         /** All that are listed failed lately or were tried already. */
         NONE_USABLE,
+
+        /** The first event would come too late for the caller. */
+        TOO_LATE,
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
@@ -1,50 +1,86 @@
 package marigoldward.core.dispatch
 
 /**
- * What placing a request costs, in milliseconds of a caller's time or what weighs as much.
+ * What placing a request costs. Prices are in parts of what a usual request is worth if it is on time.
  *
  * @property readTokensPerMilli the prompt tokens that a prefill engine reads in a millisecond
+ * @property attentionMillisPerMegapair what each million pairs of a new token and one before it adds, in milliseconds
  * @property ownReadFactor how many times longer an engine takes that generates at the same time
- * @property disturbMillisPerStream what reading a thousand tokens costs each stream of an engine that generates
- * @property remoteCallMillis what sending a request to another data centre weighs
- * @property remoteCacheMillis what moving the KV cache of a thousand tokens to another data centre weighs
- * @property splitMillis the time of the second call when two engines share a request
- * @property streamMillis how much each stream on an engine delays another
- * @property fullServiceMillis the time that a plain service with all slots taken lets a request wait
- * @property failureMillis what an upstream that always fails weighs
- * @property coldMillis what an upstream that has just started weighs
+ * @property firstTokenMillis the time from a prompt that has been read to the first event, in milliseconds
+ * @property splitMillis the time of the second call when two engines share a request, in milliseconds
+ * @property streamMillis how much each stream on an engine delays another, in milliseconds
+ * @property latePrice what is lost if an answer is late
+ * @property disturbPrice what is lost with each stream of an engine that reads a thousand tokens between its tokens
+ * @property remoteMegabytePrice a megabyte of a request sent to another data centre
+ * @property cacheGigabytePrice a gigabyte of KV cache moved within a data centre
+ * @property remoteCacheFactor how many times more it costs, and longer it takes, to another data centre
+ * @property readAgainPrice a thousand tokens read that another engine keeps
+ * @property fullServiceMillis the time that a plain service with all slots taken lets a request wait, in milliseconds
+ * @property remoteCallMillis what calling a plain service in another data centre weighs, in milliseconds
+ * @property failurePrice what is lost with an upstream that always fails
+ * @property failureMillis what a plain service that always fails weighs, in milliseconds
+ * @property coldMillis what an upstream that has just started weighs, in milliseconds
  */
 public data class PlacementCosts(
     val readTokensPerMilli: Double,
+    val attentionMillisPerMegapair: Double,
     val ownReadFactor: Double,
-    val disturbMillisPerStream: Double,
-    val remoteCallMillis: Double,
-    val remoteCacheMillis: Double,
+    val firstTokenMillis: Double,
     val splitMillis: Double,
     val streamMillis: Double,
+    val latePrice: Double,
+    val disturbPrice: Double,
+    val remoteMegabytePrice: Double,
+    val cacheGigabytePrice: Double,
+    val remoteCacheFactor: Double,
+    val readAgainPrice: Double,
     val fullServiceMillis: Double,
+    val remoteCallMillis: Double,
+    val failurePrice: Double,
     val failureMillis: Double,
     val coldMillis: Double,
 ) {
-    /** The time that a prefill engine takes for [tokens] tokens, in milliseconds. */
-    public fun readMillis(tokens: Int): Double = tokens / readTokensPerMilli
+    /** The time that a prefill engine takes for [tokens] tokens at the end of [promptTokens], in milliseconds. */
+    public fun readMillis(tokens: Int, promptTokens: Int = tokens): Double =
+        tokens / readTokensPerMilli + attentionMillisPerMegapair * tokens * promptTokens / PAIRS_PER_MEGAPAIR
 
-    /** What the way to an upstream weighs, in milliseconds. */
-    public fun callMillis(isRemote: Boolean): Double = if (isRemote) remoteCallMillis else 0.0
+    /** What is lost on average if the first event comes after [expectedMillis] and should come after [targetMillis]. */
+    public fun latenessPrice(expectedMillis: Double, targetMillis: Long): Double {
+        val overrun = expectedMillis / maxOf(1, targetMillis) - TURNING_POINT
+        return latePrice / (1 + Math.exp(-overrun * STEEPNESS)) + expectedMillis * latePrice / IDLE_MILLIS
+    }
 
     /** Creates costs. */
     public companion object {
+        private const val PAIRS_PER_MEGAPAIR = 1e6
+
+        /** An answer that is expected after this part of its target is late as often as not. */
+        private const val TURNING_POINT = 0.85
+
+        /** At half the turning point one in thirty is late. */
+        private const val STEEPNESS = 8.0
+
+        /** Among answers that are surely on time, or surely late, the sooner is better, but little. */
+        private const val IDLE_MILLIS = 20_000.0
+
         /** The costs before anything was measured, from the users' sheets. */
         public val DEFAULT: PlacementCosts =
             PlacementCosts(
                 readTokensPerMilli = 50.0,
+                attentionMillisPerMegapair = 0.37,
                 ownReadFactor = 2.0,
-                disturbMillisPerStream = 15.0,
-                remoteCallMillis = 20.0,
-                remoteCacheMillis = 2.0,
-                splitMillis = 15.0,
-                streamMillis = 1.0,
+                firstTokenMillis = 20.0,
+                splitMillis = 10.0,
+                streamMillis = 0.5,
+                latePrice = 0.6,
+                disturbPrice = 0.15,
+                remoteMegabytePrice = 8.0,
+                cacheGigabytePrice = 0.022,
+                remoteCacheFactor = 2.0,
+                readAgainPrice = 0.05,
                 fullServiceMillis = 40.0,
+                remoteCallMillis = 20.0,
+                failurePrice = 0.6,
                 failureMillis = 200.0,
                 coldMillis = 50.0,
             )
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -0,0 +1,107 @@
+package marigoldward.core.dispatch
+
+/**
+ * Decides from what the engines of one service say of themselves which of them change their stage.
+ *
+ * An engine that generates starts to read prompts for others if prompts queue and the rest can carry its streams; one
+ * that reads starts to generate if those that do are nearly full and no prompts queue. Immutable: each observation
+ * gives the next state.
+ *
+ * @property queue the prompts that run or wait at each engine that reads, on a moving average
+ * @property load the part of the engines that generate which is in use, on a moving average
+ * @property nextChangeMillis no change before, in milliseconds of monotonic time
+ */
+public data class StagePlanner(val queue: Double, val load: Double, val nextChangeMillis: Long) {
+    /** The next state, and the changes to be made now. */
+    public data class Step(val planner: StagePlanner, val changes: List<StageChange>)
+
+    /** Returns what follows from [gauges], the engines of one service that take work, at [nowMillis]. */
+    public fun observe(gauges: List<EngineGauge>, nowMillis: Long): Step {
+        val readers = gauges.filter { it.stage == EngineStage.PREFILL }
+        val decoders = gauges.filter { it.stage == EngineStage.DECODE }
+        if (decoders.isEmpty()) return Step(this, emptyList())
+        val seen =
+            copy(
+                queue = averaged(queue, readers.map { (it.running + it.waiting).toDouble() }.averageOrZero()),
+                load = averaged(load, decoders.map(::usedPart).averageOrZero()),
+            )
+        val changes = seen.changes(gauges, readers, decoders, nowMillis)
+        val next = if (changes.isEmpty()) seen else seen.copy(nextChangeMillis = nowMillis + PAUSE_MILLIS)
+        return Step(next, changes)
+    }
+
+    private fun changes(
+        gauges: List<EngineGauge>,
+        readers: List<EngineGauge>,
+        decoders: List<EngineGauge>,
+        nowMillis: Long,
+    ): List<StageChange> {
+        if (nowMillis < nextChangeMillis || gauges.any { it.isBusy }) return emptyList()
+        return when {
+            queue >= LONG_QUEUE -> donors(decoders, spareDecoders(gauges.size, decoders.size))
+                .map { StageChange(it, EngineStage.PREFILL) }
+            load >= FULL_LOAD && queue < SHORT_QUEUE && readers.size > 1 ->
+                donors(readers, 1).map { StageChange(it, EngineStage.DECODE) }
+            else -> emptyList()
+        }
+    }
+
+    /** How many engines may stop generating now: the rest must carry the load, and some must always be left. */
+    private fun spareDecoders(engines: Int, decoders: Int): Int {
+        val least = maxOf(1, Math.ceil(engines * LEAST_DECODER_PART).toInt())
+        val needed = Math.ceil(load * decoders / LIGHT_LOAD).toInt()
+        return minOf(decoders - maxOf(least, needed), Math.ceil(decoders * MOST_CHANGED_PART).toInt())
+    }
+
+    /** The [count] engines with the least to finish, so that each data centre keeps its part. */
+    private fun donors(engines: List<EngineGauge>, count: Int): List<EngineGauge> {
+        val left = engines.toMutableList()
+        return List(maxOf(0, count)) {
+            val perDataCentre = left.groupingBy { it.engine.dataCentre }.eachCount()
+            val next =
+                left
+                    .sortedWith(
+                        compareByDescending<EngineGauge> { perDataCentre.getValue(it.engine.dataCentre) }
+                            .thenBy { it.running + it.waiting }
+                            .thenBy { it.engine.id.text },
+                    ).first()
+            left.remove(next)
+            next
+        }
+    }
+
+    private fun usedPart(gauge: EngineGauge): Double =
+        maxOf(gauge.usedPart, (gauge.running + gauge.waiting).toDouble() / maxOf(1, gauge.engine.slots))
+
+    private fun averaged(before: Double, now: Double): Double = before + AVERAGE_STEP * (now - before)
+
+    private fun List<Double>.averageOrZero(): Double = if (isEmpty()) 0.0 else average()
+
+    /** Creates planners. */
+    public companion object {
+        /** The weight of the newest observation: three or four count. */
+        private const val AVERAGE_STEP = 0.4
+
+        /** Prompts per engine from which on some wait for others most of the time. */
+        private const val LONG_QUEUE = 1.2
+
+        /** Prompts per engine up to which one engine fewer would do. */
+        private const val SHORT_QUEUE = 0.4
+
+        /** The load up to which engines that generate take over the streams of another without delay. */
+        private const val LIGHT_LOAD = 0.6
+        private const val FULL_LOAD = 0.85
+
+        /** The part of the engines that always generates, so that the loss of one does not stop the service. */
+        private const val LEAST_DECODER_PART = 0.25
+
+        /** The most engines that change at once: the others take their work meanwhile. */
+        private const val MOST_CHANGED_PART = 0.34
+
+        /** The time for a change to be carried out and to show, in milliseconds. */
+        private const val PAUSE_MILLIS = 4_000L
+
+        /** The state before the first observation. */
+        public val INITIAL: StagePlanner = StagePlanner(0.0, 0.0, Long.MIN_VALUE)
+    }
+}
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -10,6 +10,7 @@
  * @property report what the upstream last said of its load, or null
  * @property reportMillis when [report] came, in milliseconds of monotonic time
  * @property ownAtReport how many of the entry's own attempts were there when [report] came
+ * @property readDelays how long the last prompt of each rank waited there
  * @property prefixes when the entry last sent each prefix there, by key; the oldest first
  */
 public data class UpstreamRecord(
@@ -19,11 +20,24 @@
     val report: ReportedLoad?,
     val reportMillis: Long,
     val ownAtReport: Int,
+    val readDelays: PersistentMap<Int, ReadDelay>,
     val prefixes: PersistentMap<Long, Long>,
 ) {
     /** The prompt tokens that the entry's own attempts still have to read there. */
     val ownReadingTokens: Int get() = attempts.values.sumOf { if (it.isReading) it.tokensToRead else 0 }
 
+    /**
+     * Returns how long a prompt of rank [priority] waits there before it is read, in milliseconds.
+     *
+     * That is what the last one of its rank or a more urgent one waited, less and less as time goes by, or what the
+     * entry's own prompts there need.
+     */
+    public fun readWaitMillis(costs: PlacementCosts, priority: Int, nowMillis: Long): Double {
+        val seenMillis = readDelays.filterKeys { it <= priority }.values.maxOfOrNull { it.leftMillis(nowMillis) } ?: 0.0
+        val ahead = attempts.values.sumOf { if (it.isReading && it.priority <= priority) it.tokensToRead else 0 }
+        return maxOf(seenMillis, ahead / costs.readTokensPerMilli)
+    }
+
     /** The requests that are there at [nowMillis]: others' by the last report while that is fresh, and the own. */
     public fun requests(nowMillis: Long): Int = attempts.size + othersRequests(nowMillis)
 
@@ -59,7 +73,8 @@
     /** Creates records. */
     public companion object {
         /** How long a report of load says anything, in milliseconds: about the time that a request takes. */
-        private const val REPORT_LIFE_MILLIS = 400L
+        private const val REPORT_LIFE_MILLIS = 1_000L
+
 
         /** How long a prefix is taken to stay cached, in milliseconds: engines keep what is used several times a minute. */
         private const val PREFIX_LIFE_MILLIS = 20_000L
@@ -67,6 +82,6 @@
 
         /** Returns the record of an upstream that was just listed. */
         public fun fromListed(listed: ListedUpstream): UpstreamRecord =
-            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, persistentMapOf())
+            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, persistentMapOf(), persistentMapOf())
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -3,6 +3,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.EngineStage
+import marigoldward.core.dispatch.GenerationRequest
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.Placement
 import marigoldward.gateway.Dialect
@@ -45,14 +46,24 @@
     }
 
     private fun place(): Placement {
-        val prompt = request.facts.prompt
-        val engine = request.service.engine
         val nowMillis = context.nowMillis()
-        return if (prompt == null || engine == null) {
-            context.dispatcher.place(request.serviceName, tried, nowMillis)
-        } else {
-            context.dispatcher.place(request.serviceName, engine, prompt, tried, nowMillis)
-        }
+        val generation = generationOrNull() ?: return context.dispatcher.place(request.serviceName, tried, nowMillis)
+        return context.dispatcher.place(generation, tried, nowMillis)
+    }
+
+    private fun generationOrNull(): GenerationRequest? {
+        val prompt = request.facts.prompt ?: return null
+        val engine = request.service.engine ?: return null
+        val targetMillis = request.arrivedMillis + request.route.targetLatencyMillis - context.nowMillis()
+        return GenerationRequest(
+            service = request.serviceName,
+            engine = engine,
+            prompt = prompt,
+            targetMillis = maxOf(1, targetMillis),
+            leftMillis = leftMillis,
+            priority = request.route.priority,
+            bodyBytes = request.body.size,
+        )
     }
 
     private fun giveUp(placement: Placement.None) {
@@ -87,13 +98,18 @@
     private fun order(upstream: ListedUpstream, step: Dialect.Step): Dialect.ForwardOrder =
         Dialect.ForwardOrder(upstream.id, leftMillis, request.route.priority, step, lastEventId)
 
-    /** Goes elsewhere if nothing at all comes from the engine: the connection, or the engine, is dead. */
+    /** Goes elsewhere if nothing at all comes from the engine and it takes no connections: it is dead or cut off. */
     private fun watch(sent: UpstreamTry) {
-        context.later(SILENCE_MILLIS + request.route.targetLatencyMillis) {
-            if (!isOver && current === sent && sent.isUnheard) silent(sent)
+        context.later(SILENCE_MILLIS) {
+            if (!isOver && current === sent && sent.isUnheard) sent.probe { isAlive -> probed(sent, isAlive) }
         }
     }
 
+    private fun probed(sent: UpstreamTry, isAlive: Boolean) {
+        if (isOver || current !== sent || !sent.isUnheard) return
+        if (isAlive) watch(sent) else silent(sent)
+    }
+
     private fun silent(sent: UpstreamTry) {
         sent.cancel(AttemptEnd.SILENT, "nothing came for ${sent.ageMillis} ms")
         if (sent.upstream.stage == EngineStage.PREFILL) {
@@ -115,9 +131,23 @@
     private fun failed(sent: UpstreamTry, end: AttemptEnd, reason: String) {
         if (isOver || current !== sent) return
         sent.over(end, reason)
-        releaseCache()
         note(sent.upstream.id, end)
-        if (mayRepeat(end)) attempt() else endOrBreak(reason)
+        if (!mayRepeat(end)) {
+            releaseCache()
+            endOrBreak(reason)
+        } else if (end != AttemptEnd.NOT_RUN || !takeOver()) {
+            releaseCache()
+            attempt()
+        }
+    }
+
+    /** Lets the best engine of those not tried take the KV cache over; false if there is none. */
+    private fun takeOver(): Boolean {
+        val cache = heldCache ?: return false
+        val generation = generationOrNull() ?: return false
+        val decoder = context.dispatcher.decoderOrNull(generation, cache.engine, tried, context.nowMillis()) ?: return false
+        generate(decoder, 0, Dialect.Step.Decode(cache.engine.address, cache.handle))
+        return true
     }
 
     private fun endOrBreak(reason: String) {
@@ -163,13 +193,17 @@
         }
 
         private fun cacheRead(handle: String) {
+            sent().promptRead()
             sent().over(AttemptEnd.ANSWERED, "")
             if (isOver || current !== sent()) {
                 CacheRelease.send(context, placement.prefill, handle)
                 return
             }
             heldCache = HeldCache(placement.prefill, handle)
-            generate(placement.decode, 0, Dialect.Step.Decode(placement.prefill.address, handle))
+            if (!takeOver()) {
+                endOrBreak("no_decoder")
+                releaseCache()
+            }
         }
     }
 
@@ -257,7 +291,7 @@
     private companion object {
         const val OK = 200
 
-        /** How much longer than its target a first event may take before a silent engine is given up, in milliseconds. */
+        /** After which silence an engine is asked whether it lives, in milliseconds; a usual first event is there by then. */
         const val SILENCE_MILLIS = 800L
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
@@ -50,7 +50,7 @@
     /** Sends [head]; the upstream is expected to read [tokensToRead] tokens of [prompt]. */
     fun send(head: RequestHead, label: String, prompt: Prompt?, tokensToRead: Int, isFreshNeeded: Boolean) {
         val nowMillis = context.nowMillis()
-        attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, nowMillis)
+        attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, request.route.priority, nowMillis)
         val leftMillis = request.deadlineMillis - nowMillis
         SessionLog.sent(request, attempt, label, context.dispatcher.recordOrNull(upstream.id), leftMillis)
         val next = UpstreamCall(upstream, head, request.body, request.id, isFreshNeeded, Answers())
@@ -58,8 +58,11 @@
         context.pool.send(next)
     }
 
+    /** Finds out whether the upstream still takes connections; tells [onResult]. */
+    fun probe(onResult: (Boolean) -> Unit) = context.pool.probe(upstream, onResult)
+
     /** Notes that the prompt has been read. */
-    fun promptRead() = context.dispatcher.promptRead(attempt)
+    fun promptRead() = context.dispatcher.promptRead(attempt, context.nowMillis())
 
     /** Notes how the attempt ended; only the first word counts. */
     fun over(end: AttemptEnd, reason: String) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
+import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.GatewayMetrics
@@ -28,6 +29,19 @@
         if (connection == null) connect(call) else connection.carry(call)
     }
 
+    /** Opens a connection to [upstream], which is kept for later calls; [onResult] is told whether that worked. */
+    fun probe(upstream: ListedUpstream, onResult: (Boolean) -> Unit) {
+        val address = parseAddressOrNull(upstream.address) ?: return onResult(false)
+        GatewayMetrics.connections.inc()
+        val opened = bootstrap.clone().handler(Initializer(upstream.id, AnswerDecoder())).connect(address)
+        opened.addListener {
+            if (opened.isSuccess) {
+                becameIdle(upstream.id, opened.channel().pipeline().get(UpstreamConnection::class.java))
+            }
+            onResult(opened.isSuccess)
+        }
+    }
+
     /** Closes the connections that the upstream will soon close, and those to upstreams that [isListed] does not know. */
     fun closeOld(isListed: (UpstreamId) -> Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
--- a/support/src/main/kotlin/marigoldward/support/log/EventLog.kt
+++ b/support/src/main/kotlin/marigoldward/support/log/EventLog.kt
@@ -1,7 +1,9 @@
 package marigoldward.support.log
 
+import ch.qos.logback.classic.LoggerContext
 import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.slf4j.LoggerFactory
 
 /**
  * Writes one line of `key=value` pairs for each event.
@@ -31,5 +33,10 @@
     public companion object {
         /** Returns the log of the part called [name]. */
         public fun fromName(name: String): EventLog = EventLog(KotlinLogging.logger("marigoldward.$name"))
+
+        /** Writes what is waiting and takes no more lines; for the end of a process. */
+        public fun flush() {
+            (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+        }
     }
 }
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -88,6 +88,7 @@
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 stop()
+                EventLog.flush()
                 latch.countDown()
             },
         )
