Tests of the path on the platform: placement, stages, membership, forwarding, streams, formats

The log tells damage to durable records from writes that a loss of power left undone: two checks that damaged an only batch now damage one that a later record proves durable, and a new one covers the undone batch. Ranks as a key of waits seen: engines read what they have begun in turn (163 urgent tokens waited 1,436 ms).

--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -65,7 +65,7 @@
     private fun plan(service: PoolName, listed: List<ListedUpstream>) {
         val gauges = listed.mapNotNull { engine -> (engines.gauge(engine) as? Outcome.Success)?.value }
         val planner = planners[service] ?: StagePlanner.INITIAL
-        val step = planner.observe(gauges, MonotonicClock.nowMillis())
+        val step = planner.observe(gauges, listed.size, MonotonicClock.nowMillis())
         planners[service] = step.planner
         step.changes.forEach { order(it, step.planner) }
     }
--- /dev/null
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -0,0 +1,151 @@
+package marigoldward.control.cluster
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import marigoldward.control.routes.RouteReadResult
+import marigoldward.control.routes.RouteStoreResult
+import marigoldward.control.stages.EngineControl
+import marigoldward.core.Outcome
+import marigoldward.core.dispatch.EngineGauge
+import marigoldward.core.dispatch.ListedUpstream
+import marigoldward.core.flatMap
+import marigoldward.core.model.DataCentre
+import marigoldward.core.model.InstanceId
+import marigoldward.core.routes.CallerLimits
+import marigoldward.core.routes.RouteConfiguration
+import marigoldward.core.routes.RouteDocumentReader
+import marigoldward.core.routes.RouteProblem
+import marigoldward.support.program.KeyFile
+import java.io.File
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Documents of the tests are a version and a text: `7 anything`. */
+private val READER = RouteDocumentReader { content ->
+    val version = content.decodeToString().substringBefore(' ').toLongOrNull()
+    val read: Outcome<Long, RouteProblem> =
+        if (version == null) Outcome.Failure(RouteProblem.Unreadable("no version")) else Outcome.Success(version)
+    read.flatMap { RouteConfiguration.check(it, emptyList(), emptyList(), CallerLimits.DEFAULT) }
+}
+
+private object NoEngines : EngineControl {
+    override fun gauge(engine: ListedUpstream): Outcome<EngineGauge, String> = Outcome.Failure("no engines")
+
+    override fun send(order: EngineControl.StageOrder): EngineControl.OrderResult =
+        EngineControl.OrderResult.Refused("no engines")
+}
+
+private class Cluster : AutoCloseable {
+    private val port = ServerSocket(0).use { it.localPort }
+    private val root: Path = Files.createTempDirectory("cluster")
+    private val running = HashMap<Int, ClusterProgram>()
+
+    fun start(number: Int, isFirstStart: Boolean, seeds: List<Int> = listOf(1, 2, 3)) {
+        val settings =
+            ClusterSettings(
+                ip = InstanceId.parse(ip(number)),
+                dataCentre = DataCentre.parse("dc-$number"),
+                operatorListen = InetSocketAddress(ip(number), 1),
+                rpcPort = port,
+                metricsPort = 1,
+                dataFolder = root.resolve("$number"),
+                seeds = seeds.map { InetSocketAddress(ip(it), 1) },
+                isFirstStart = isFirstStart,
+                lostInstances = 1,
+                clusterId = "test",
+                key = KeyFile.fromSecret("a key of the tests"),
+                directory = InetSocketAddress("127.0.0.1", 1),
+                leaseMillis = 3_000,
+            )
+        running[number] = ClusterProgram.start(settings, READER, { Outcome.Success(emptyList()) }, NoEngines)
+    }
+
+    fun stop(number: Int) {
+        running.remove(number)?.close()
+    }
+
+    fun wipe(number: Int) {
+        File(root.toFile(), "$number").deleteRecursively()
+    }
+
+    /** Stores [document] at whichever instance takes it. */
+    fun store(document: String): RouteStoreResult = await {
+        running.values.map { it.routes.store(document.toByteArray()) }.firstOrNull {
+            it !is RouteStoreResult.NotLeader && it != RouteStoreResult.Unknown
+        }
+    }
+
+    /** Reads the configuration from whichever instance may tell it. */
+    fun read(): String? = await {
+        running.values.map { it.routes.read() }.filterIsInstance<RouteReadResult.Current>().firstOrNull()
+    }.content?.decodeToString()
+
+    override fun close() {
+        running.values.forEach(ClusterProgram::close)
+        root.toFile().deleteRecursively()
+    }
+
+    private fun ip(number: Int): String = "127.0.77.$number"
+
+    private fun <T : Any> await(attempt: () -> T?): T {
+        val endMillis = System.nanoTime() / 1_000_000 + WAIT_MILLIS
+        while (System.nanoTime() / 1_000_000 < endMillis) {
+            attempt()?.let { return it }
+            Thread.sleep(50)
+        }
+        error("not within $WAIT_MILLIS ms")
+    }
+
+    private companion object {
+        const val WAIT_MILLIS = 20_000L
+    }
+}
+
+class ClusterTest :
+    DescribeSpec({
+        describe("control instances that know three seeds only") {
+            it("form a cluster, keep configurations and bear the loss of one disk after the other") {
+                Cluster().use { cluster ->
+                    (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                    cluster.store("7 seven") shouldBe RouteStoreResult.Stored(7)
+                    cluster.store("7 seven") shouldBe RouteStoreResult.Superseded(7)
+                    cluster.store("7 other") shouldBe RouteStoreResult.VersionTaken(7)
+                    cluster.store("nothing").shouldBeInstanceOf<RouteStoreResult.Invalid>()
+                    cluster.read() shouldBe "7 seven"
+
+                    (1..3).forEach { lost ->
+                        cluster.stop(lost)
+                        cluster.wipe(lost)
+                        cluster.start(lost, isFirstStart = false)
+                        cluster.store("${10 + lost} after the loss of $lost") shouldBe RouteStoreResult.Stored(10L + lost)
+                        Thread.sleep(4_000)
+                    }
+                    cluster.read() shouldBe "13 after the loss of 3"
+                }
+            }
+            it("go on with what was acknowledged after all were stopped") {
+                Cluster().use { cluster ->
+                    (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                    cluster.store("5 five")
+                    (1..3).forEach(cluster::stop)
+                    (1..3).forEach { cluster.start(it, isFirstStart = false) }
+                    cluster.read() shouldBe "5 five"
+                }
+            }
+            it("replace one that is gone for good by one that nobody knew") {
+                Cluster().use { cluster ->
+                    (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                    cluster.store("5 five")
+                    cluster.stop(3)
+                    cluster.start(4, isFirstStart = false, seeds = listOf(2, 4))
+                    Thread.sleep(14_000)
+                    cluster.stop(1)
+                    cluster.store("6 six") shouldBe RouteStoreResult.Stored(6)
+                    cluster.read() shouldBe "6 six"
+                }
+            }
+        }
+    })
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -87,8 +87,8 @@
                     store.recovered.tornBytes shouldBeGreaterThan 0
                 }
             }
-            it("that is damaged before valid entries is refused") {
-                val folder = written(initialised(), 1L..3L)
+            it("that is damaged in what was durable is refused") {
+                val folder = written(written(initialised(), 1L..3L), 4L..4L)
                 val log = folder.resolve("log")
                 val bytes = Files.readAllBytes(log)
                 bytes[HEADER_BYTES] = (bytes[HEADER_BYTES] + 1).toByte()
@@ -97,7 +97,7 @@
                     StorageProblem.Corrupt(log.toString(), 0)
             }
             it("that is damaged in a length is refused too") {
-                val folder = written(initialised(), 1L..3L)
+                val folder = written(written(initialised(), 1L..3L), 4L..4L)
                 val log = folder.resolve("log")
                 val bytes = Files.readAllBytes(log)
                 bytes[0] = 0x7f
@@ -108,6 +108,16 @@
                     NEWCOMER,
                 ).errorOrNull().shouldBeInstanceOf<StorageProblem.Corrupt>()
             }
+            it("loses writes that a loss of power left undone, whatever part of them is there") {
+                val folder = written(initialised(), 1L..2L)
+                val log = folder.resolve("log")
+                val durableBytes = Files.size(log).toInt()
+                open(folder).use { it.writeEntries(entries(3L..6L)) }
+                val bytes = Files.readAllBytes(log)
+                bytes.fill(0, durableBytes, durableBytes + HEADER_BYTES)
+                Files.write(log, bytes)
+                open(folder).use { it.recovered.entries shouldBe entries(1L..2L) }
+            }
             it("drops entries that a newer leader replaced") {
                 val folder = written(initialised(), 1L..5L)
                 open(folder).use { store ->
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
@@ -8,7 +8,6 @@
  * @property number tells attempts apart
  * @property tokensToRead the prompt tokens that the upstream is expected to read, 0 for a plain service
  * @property isReading whether the prompt has not been read yet
- * @property priority its rank, by which engines order the prompts that wait
  * @property startedMillis when it was sent, in milliseconds of monotonic time
  */
 public data class Attempt(
@@ -16,6 +15,5 @@
     val upstream: UpstreamId,
     val tokensToRead: Int,
     val isReading: Boolean,
-    val priority: Int,
     val startedMillis: Long,
 )
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -17,6 +17,7 @@
     private val random = Random(seed)
     private var records: PersistentMap<UpstreamId, UpstreamRecord> = persistentMapOf()
     private var nextNumber = 1L
+    private var usualDelay = ReadDelay.NONE
 
     /** How many upstreams are listed. */
     public val listedUpstreams: Int get() = records.size
@@ -50,7 +51,7 @@
         val decoders = usable.filter { it.listed.stage != EngineStage.PREFILL }
         if (decoders.isEmpty()) return Placement.None(reason(request.service))
         val readers = usable.filter { it.listed.stage == EngineStage.PREFILL }
-        val view = GenerationView(request, dataCentre, costs, nowMillis)
+        val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
         val direct = decoders.map { view.whole(it, it.tokensToRead(prompt, isHome = false, nowMillis)) }
         val home = homeOrNull(readers, prompt)
         val split = readers.flatMap { reader ->
@@ -70,7 +71,7 @@
         nowMillis: Long,
     ): ListedUpstream? {
         val record = records[reader.id] ?: UpstreamRecord.fromListed(reader)
-        val view = GenerationView(request, dataCentre, costs, nowMillis)
+        val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
         return usable(request.service, tried, nowMillis)
             .filter { it.listed.stage != EngineStage.PREFILL }
             .minByOrNull { view.split(record, it, 1).price }
@@ -82,10 +83,9 @@
         upstream: UpstreamId,
         prompt: Prompt?,
         tokensToRead: Int,
-        priority: Int,
         nowMillis: Long,
     ): Attempt {
-        val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, priority, nowMillis)
+        val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, nowMillis)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
             if (prompt == null) counted else counted.withPrefixes(prompt, nowMillis)
@@ -101,9 +101,10 @@
             val factor = if (record.listed.stage == EngineStage.PREFILL) 1.0 else costs.ownReadFactor
             val expectedMillis = factor * costs.readMillis(current.tokensToRead)
             val delayMillis = maxOf(0.0, nowMillis - current.startedMillis - expectedMillis)
+            if (record.listed.stage == EngineStage.PREFILL) usualDelay = usualDelay.averaged(delayMillis, nowMillis)
             record.copy(
                 attempts = record.attempts.put(attempt.number, current.copy(isReading = false)),
-                readDelays = record.readDelays.put(current.priority, ReadDelay(delayMillis, nowMillis)),
+                readDelay = ReadDelay(delayMillis, nowMillis),
             )
         }
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationRequest.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationRequest.kt
@@ -8,7 +8,6 @@
  *
  * @property targetMillis when its first event should come, in milliseconds after now
  * @property leftMillis when the caller leaves, in milliseconds after now
- * @property priority its rank; engines read the prompts of lower ranks first
  * @property bodyBytes the size of the request, in bytes
  */
 public data class GenerationRequest(
@@ -17,6 +16,5 @@
     val prompt: Prompt,
     val targetMillis: Long,
     val leftMillis: Long,
-    val priority: Int,
     val bodyBytes: Int,
 )
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -7,6 +7,7 @@
     private val request: GenerationRequest,
     private val dataCentre: DataCentre,
     private val costs: PlacementCosts,
+    private val usualWaitMillis: Double,
     private val nowMillis: Long,
 ) {
     private val prompt = request.prompt
@@ -19,13 +20,11 @@
 
     /** One engine that generates reads [tokens] tokens itself, between the tokens of its other streams. */
     fun whole(decoder: UpstreamRecord, tokens: Int): Priced {
-        val waitMillis = decoder.readWaitMillis(costs, request.priority, nowMillis)
+        val waitMillis = decoder.readWaitMillis(costs, 0.0, nowMillis)
         val readMillis = costs.ownReadFactor * costs.readMillis(tokens, prompt.promptTokens)
-        val streams = maxOf(decoder.requests(nowMillis), USUAL_STREAMS)
-        val disturbed = streams * costs.disturbPrice * tokens / TOKENS_PER_UNIT
         val expectedMillis = waitMillis + readMillis + decodeMillis(decoder)
         val price =
-            lateness(expectedMillis) + disturbed + readAgain(tokens) + reliability(decoder) + way(decoder)
+            lateness(expectedMillis) + disturbance(decoder, tokens) + readAgain(tokens) + reliability(decoder) + way(decoder)
         return Priced(Placement.Whole(decoder.listed, tokens), price, expectedMillis)
     }
 
@@ -34,7 +33,7 @@
         val isRemote = reader.listed.dataCentre != decoder.listed.dataCentre
         val factor = if (isRemote) costs.remoteCacheFactor else 1.0
         val expectedMillis =
-            reader.readWaitMillis(costs, request.priority, nowMillis) + costs.readMillis(tokens, prompt.promptTokens) +
+            reader.readWaitMillis(costs, usualWaitMillis, nowMillis) + costs.readMillis(tokens, prompt.promptTokens) +
                 costs.splitMillis + moveMillis * factor + decodeMillis(decoder)
         val price =
             lateness(expectedMillis) + cacheGigabytes * costs.cacheGigabytePrice * factor + readAgain(tokens) +
@@ -42,12 +41,22 @@
         return Priced(Placement.Split(reader.listed, decoder.listed, tokens), price, expectedMillis)
     }
 
-    private fun lateness(expectedMillis: Double): Double = costs.latenessPrice(expectedMillis, request.targetMillis)
+    private fun lateness(expectedMillis: Double): Double =
+        costs.latenessPrice(expectedMillis, request.targetMillis, request.leftMillis)
 
     private fun decodeMillis(decoder: UpstreamRecord): Double =
         costs.firstTokenMillis + costs.streamMillis * decoder.requests(nowMillis) +
             decoder.ownReadingTokens / costs.readTokensPerMilli
 
+    /** One slow step is within every stream's allowed pause; each further one may make some of them late. */
+    private fun disturbance(decoder: UpstreamRecord, tokens: Int): Double {
+        val waiting = decoder.attempts.values.sumOf { if (it.isReading) steps(it.tokensToRead) else 0 }
+        val streams = maxOf(decoder.requests(nowMillis), USUAL_STREAMS)
+        return costs.disturbPrice * (1 + streams * (waiting + steps(tokens) - 1))
+    }
+
+    private fun steps(tokens: Int): Int = (tokens + TOKENS_PER_STEP - 1) / TOKENS_PER_STEP
+
     /** The shared tokens that are read although some engine probably keeps them. */
     private fun readAgain(tokens: Int): Double {
         val ownTokens = prompt.promptTokens - prompt.sharedTokens
@@ -66,6 +75,9 @@
         const val BYTES_PER_MEGABYTE = 1e6
         const val BYTES_PER_MEGABIT_MILLI = 125.0
 
+        /** The prompt tokens that an engine which generates reads in one step. */
+        const val TOKENS_PER_STEP = 1_024
+
         /** The streams that an engine which generates is taken to have at least: other entries send there too. */
         const val USUAL_STREAMS = 4
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
@@ -10,7 +10,8 @@
  * @property splitMillis the time of the second call when two engines share a request, in milliseconds
  * @property streamMillis how much each stream on an engine delays another, in milliseconds
  * @property latePrice what is lost if an answer is late
- * @property disturbPrice what is lost with each stream of an engine that reads a thousand tokens between its tokens
+ * @property failPrice what is lost besides if it comes too late for the caller
+ * @property disturbPrice what is lost with each stream of an engine that takes another step to read a prompt
  * @property remoteMegabytePrice a megabyte of a request sent to another data centre
  * @property cacheGigabytePrice a gigabyte of KV cache moved within a data centre
  * @property remoteCacheFactor how many times more it costs, and longer it takes, to another data centre
@@ -29,6 +30,7 @@
     val splitMillis: Double,
     val streamMillis: Double,
     val latePrice: Double,
+    val failPrice: Double,
     val disturbPrice: Double,
     val remoteMegabytePrice: Double,
     val cacheGigabytePrice: Double,
@@ -44,10 +46,18 @@
     public fun readMillis(tokens: Int, promptTokens: Int = tokens): Double =
         tokens / readTokensPerMilli + attentionMillisPerMegapair * tokens * promptTokens / PAIRS_PER_MEGAPAIR
 
-    /** What is lost on average if the first event comes after [expectedMillis] and should come after [targetMillis]. */
-    public fun latenessPrice(expectedMillis: Double, targetMillis: Long): Double {
-        val overrun = expectedMillis / maxOf(1, targetMillis) - TURNING_POINT
-        return latePrice / (1 + Math.exp(-overrun * STEEPNESS)) + expectedMillis * latePrice / IDLE_MILLIS
+    /**
+     * What is lost on average if the first event comes after [expectedMillis], should come after [targetMillis] and is
+     * of no use after [leftMillis].
+     */
+    public fun latenessPrice(expectedMillis: Double, targetMillis: Long, leftMillis: Long): Double =
+        latePrice * missedPart(expectedMillis, targetMillis) + failPrice * missedPart(expectedMillis, leftMillis) +
+            expectedMillis * latePrice / IDLE_MILLIS
+
+    /** The part of answers expected after [expectedMillis] that come after [limitMillis]. */
+    private fun missedPart(expectedMillis: Double, limitMillis: Long): Double {
+        val overrun = expectedMillis / maxOf(1, limitMillis) - TURNING_POINT
+        return 1 / (1 + Math.exp(-overrun * STEEPNESS))
     }
 
     /** Creates costs. */
@@ -73,7 +83,8 @@
                 splitMillis = 10.0,
                 streamMillis = 0.5,
                 latePrice = 0.6,
-                disturbPrice = 0.15,
+                failPrice = 0.5,
+                disturbPrice = 0.04,
                 remoteMegabytePrice = 8.0,
                 cacheGigabytePrice = 0.022,
                 remoteCacheFactor = 2.0,
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -15,8 +15,12 @@
     /** The next state, and the changes to be made now. */
     public data class Step(val planner: StagePlanner, val changes: List<StageChange>)
 
-    /** Returns what follows from [gauges], the engines of one service that take work, at [nowMillis]. */
-    public fun observe(gauges: List<EngineGauge>, nowMillis: Long): Step {
+    /**
+     * Returns what follows at [nowMillis] from [gauges], what the engines of one service that take work said.
+     *
+     * @param listed how many such engines there are; while several don't answer, nothing is changed
+     */
+    public fun observe(gauges: List<EngineGauge>, listed: Int, nowMillis: Long): Step {
         val readers = gauges.filter { it.stage == EngineStage.PREFILL }
         val decoders = gauges.filter { it.stage == EngineStage.DECODE }
         if (decoders.isEmpty()) return Step(this, emptyList())
@@ -25,11 +29,22 @@
                 queue = averaged(queue, readers.map { (it.running + it.waiting).toDouble() }.averageOrZero()),
                 load = averaged(load, decoders.map(::usedPart).averageOrZero()),
             )
-        val changes = seen.changes(gauges, readers, decoders, nowMillis)
+        val isWhole = gauges.size >= listed * WHOLE_PART
+        val changes = if (isWhole) seen.changes(gauges, readers, decoders, nowMillis) else emptyList()
         val next = if (changes.isEmpty()) seen else seen.copy(nextChangeMillis = nowMillis + PAUSE_MILLIS)
         return Step(next, changes)
     }
 
+    /** Before the first work all caches are empty, so that prompts take longest to read in the first seconds. */
+    private fun startingChanges(gauges: List<EngineGauge>, readers: Int, decoders: List<EngineGauge>): List<StageChange> {
+        val wanted = Math.round(gauges.size * START_READER_PART).toInt() - readers
+        val spare = minOf(wanted, spareDecoders(gauges.size, decoders.size))
+        val perDataCentre = decoders.groupingBy { it.engine.dataCentre }.eachCount()
+        return donors(decoders, spare)
+            .filter { perDataCentre.getValue(it.engine.dataCentre) > 1 }
+            .map { StageChange(it, EngineStage.PREFILL) }
+    }
+
     private fun changes(
         gauges: List<EngineGauge>,
         readers: List<EngineGauge>,
@@ -38,6 +53,7 @@
     ): List<StageChange> {
         if (nowMillis < nextChangeMillis || gauges.any { it.isBusy }) return emptyList()
         return when {
+            isIdle(gauges) -> startingChanges(gauges, readers.size, decoders)
             queue >= LONG_QUEUE -> donors(decoders, spareDecoders(gauges.size, decoders.size))
                 .map { StageChange(it, EngineStage.PREFILL) }
             load >= FULL_LOAD && queue < SHORT_QUEUE && readers.size > 1 ->
@@ -70,6 +86,9 @@
         }
     }
 
+    private fun isIdle(gauges: List<EngineGauge>): Boolean =
+        gauges.all { it.sequence == 0L && it.running == 0 && it.waiting == 0 && it.usedPart == 0.0 }
+
     private fun usedPart(gauge: EngineGauge): Double =
         maxOf(gauge.usedPart, (gauge.running + gauge.waiting).toDouble() / maxOf(1, gauge.engine.slots))
 
@@ -95,6 +114,12 @@
         /** The part of the engines that always generates, so that the loss of one does not stop the service. */
         private const val LEAST_DECODER_PART = 0.25
 
+        /** The part of the engines that must answer: others may be cut off, and needed where they are. */
+        private const val WHOLE_PART = 0.85
+
+        /** The part of the engines that reads prompts when the first work comes. */
+        private const val START_READER_PART = 0.65
+
         /** The most engines that change at once: the others take their work meanwhile. */
         private const val MOST_CHANGED_PART = 0.34
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -10,7 +10,7 @@
  * @property report what the upstream last said of its load, or null
  * @property reportMillis when [report] came, in milliseconds of monotonic time
  * @property ownAtReport how many of the entry's own attempts were there when [report] came
- * @property readDelays how long the last prompt of each rank waited there
+ * @property readDelay how long the last prompt that was read waited there
  * @property prefixes when the entry last sent each prefix there, by key; the oldest first
  */
 public data class UpstreamRecord(
@@ -20,22 +20,24 @@
     val report: ReportedLoad?,
     val reportMillis: Long,
     val ownAtReport: Int,
-    val readDelays: PersistentMap<Int, ReadDelay>,
+    val readDelay: ReadDelay,
     val prefixes: PersistentMap<Long, Long>,
 ) {
     /** The prompt tokens that the entry's own attempts still have to read there. */
     val ownReadingTokens: Int get() = attempts.values.sumOf { if (it.isReading) it.tokensToRead else 0 }
 
     /**
-     * Returns how long a prompt of rank [priority] waits there before it is read, in milliseconds.
+     * Returns how long a prompt waits there before it is read, in milliseconds.
      *
-     * That is what the last one of its rank or a more urgent one waited, less and less as time goes by, or what the
-     * entry's own prompts there need.
+     * That is what the last one waited, less and less as time goes by, or what the entry's own prompts there need. If
+     * none was read there lately, it is at least [usualMillis], as elsewhere. Engines read what they have begun in
+     * turn, whatever its rank.
      */
-    public fun readWaitMillis(costs: PlacementCosts, priority: Int, nowMillis: Long): Double {
-        val seenMillis = readDelays.filterKeys { it <= priority }.values.maxOfOrNull { it.leftMillis(nowMillis) } ?: 0.0
-        val ahead = attempts.values.sumOf { if (it.isReading && it.priority <= priority) it.tokensToRead else 0 }
-        return maxOf(seenMillis, ahead / costs.readTokensPerMilli)
+    public fun readWaitMillis(costs: PlacementCosts, usualMillis: Double, nowMillis: Long): Double {
+        val isKnown = nowMillis - readDelay.seenMillis < KNOWN_MILLIS
+        val leftMillis = readDelay.leftMillis(nowMillis)
+        val seenMillis = if (isKnown) leftMillis else maxOf(leftMillis, usualMillis)
+        return maxOf(seenMillis, ownReadingTokens / costs.readTokensPerMilli)
     }
 
     /** The requests that are there at [nowMillis]: others' by the last report while that is fresh, and the own. */
@@ -76,12 +78,15 @@
         private const val REPORT_LIFE_MILLIS = 1_000L
 
 
+        /** How long a wait that was seen says more than what is usual, in milliseconds. */
+        private const val KNOWN_MILLIS = 500L
+
         /** How long a prefix is taken to stay cached, in milliseconds: engines keep what is used several times a minute. */
         private const val PREFIX_LIFE_MILLIS = 20_000L
         private const val MAX_PREFIXES = 512
 
         /** Returns the record of an upstream that was just listed. */
         public fun fromListed(listed: ListedUpstream): UpstreamRecord =
-            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, persistentMapOf(), persistentMapOf())
+            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, ReadDelay.NONE, persistentMapOf())
     }
 }
--- a/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
@@ -60,6 +60,39 @@
         repeat(rules.steps) { step() }
     }
 
+    /**
+     * Heals everything and leaves the replicas alone for a while.
+     *
+     * @throws IllegalStateException if they commit nothing although all of them are back
+     */
+    fun settle() {
+        cutOff = null
+        val before = committed.size
+        repeat(SETTLE_STEPS) {
+            nowMillis += SETTLE_STEP_MILLIS
+            replicas.values.forEach { send(it, it.handle(ReplicaEvent.Tick, nowMillis)) }
+            deliver()
+            changeMembers()
+        }
+        propose()
+        repeat(SETTLE_STEPS) {
+            nowMillis += SETTLE_STEP_MILLIS
+            replicas.values.forEach { send(it, it.handle(ReplicaEvent.Tick, nowMillis)) }
+            deliver()
+        }
+        check(committed.size > before) { "seed $seed: nothing is committed any more: ${describe()}" }
+        val leading = checkNotNull(leader()) { "seed $seed: nobody leads" }
+        check(leading.state.log.members.voters.size == names.size) {
+            "seed $seed: ${leading.state.log.members} are the members in the end"
+        }
+    }
+
+    private fun describe(): String = replicas.values.joinToString { replica ->
+        val state = replica.state
+        "${replica.id} up=${replica.isUp} term=${state.hardState.term} log=${state.log.lastIndex}/${state.commitIndex} " +
+            "role=${state.role::class.simpleName} members=${state.log.members}"
+    }
+
     private fun step() {
         nowMillis += random.nextLong(1, 20)
         replicas.values.filter { it.isUp }.forEach { send(it, it.handle(ReplicaEvent.Tick, nowMillis)) }
@@ -68,11 +101,12 @@
         when {
             dice < 250 -> propose()
             dice < 330 -> lease()
-            dice < 350 -> cutOff = if (cutOff == null) names.random(random) else null
+            dice < 350 -> cutOff = if (cutOff == null) replicas.keys.random(random) else null
             dice < 362 -> restart()
             dice < 366 -> if (rules.wipes) wipe()
             dice < 400 -> replicas.values.filter { it.isUp }.randomOrNull(random)?.takeSnapshot(nowMillis)
-            dice < 460 -> replace()
+            dice < 460 -> if (rules.automatic) changeMembers() else replace()
+            dice < 463 -> if (rules.automatic) replaceForGood()
         }
     }
 
@@ -152,10 +186,9 @@
 
     /** At most one disk is lost until its replica is a voter again, which is what three replicas can bear. */
     private fun wipe() {
-        val members = replicas.values.filter { it.isUp }.maxBy { it.state.commitIndex }.state.log.members
-        val isWhole = replicas.values.all { it.id in members.voters } && members.voters.size == names.size
+        val isWhole = isWhole()
         if (!isWhole) return
-        val name = names.random(random)
+        val name = replicas.keys.random(random)
         val incarnation = if (rules.keepsNameAfterWipe) replicas.getValue(name).id.incarnation else nextIncarnation++
         val known = if (rules.keepsNameAfterWipe) first else Members(emptySet())
         val fresh = ScheduledReplica(ReplicaId(name, incarnation), known, this, rules)
@@ -179,6 +212,35 @@
         send(target, target.handle(ReplicaEvent.ChangeMembers(nextId++, change), nowMillis))
     }
 
+    /** What a leader does without an operator; every replica that is no member has announced itself. */
+    private fun changeMembers() {
+        val target = leader() ?: return
+        val members = target.state.log.members
+        if (target.state.log.membersIndex > target.state.commitIndex) return
+        val newcomers = replicas.values.filter { it.isUp && it.id !in members.all && it.id.name != cutOff }
+        val waiting = newcomers.map { MembershipPlanner.Newcomer(it.id, PLACE) }
+        val change = PLANNER.nextChangeOrNull(target.state, waiting, emptyMap(), nowMillis) ?: return
+        send(target, target.handle(ReplicaEvent.ChangeMembers(nextId++, change), nowMillis))
+    }
+
+    /** Whether every replica is a voter by what is committed; a change that is only in a log may still be lost. */
+    private fun isWhole(): Boolean {
+        val newest = replicas.values.filter { it.isUp }.maxBy { it.state.commitIndex }.state
+        val members = newest.log.membersAt(newest.commitIndex)
+        return replicas.values.all { it.id in members.voters } && members.voters.size == names.size
+    }
+
+    /** One replica never comes back; an empty one with another name comes instead. */
+    private fun replaceForGood() {
+        val isWhole = isWhole()
+        if (!isWhole) return
+        val gone = replicas.keys.random(random)
+        val id = ReplicaId(InstanceId.parse("new-${nextIncarnation++}"), 1)
+        val fresh = ScheduledReplica(id, Members(emptySet()), this, rules)
+        replicas = replicas - gone + (id.name to fresh)
+        fresh.start(nowMillis, random.nextLong())
+    }
+
     override fun committed(
         replica: ReplicaId,
         entry: LogEntry,
@@ -236,6 +298,12 @@
 
     private companion object {
         val HOLDERS = listOf("holder-1", "holder-2").map(InstanceId::parse)
+        val PLACE = DataCentre.parse("dc")
+
+        /** A voter that is silent for two election timeouts is replaced if another replica waits. */
+        val PLANNER = MembershipPlanner(targetVoters = 3, replaceAfterMillis = 600)
+        const val SETTLE_STEPS = 400
+        const val SETTLE_STEP_MILLIS = 10L
         val SCOPE = LeaseScope.of(SiteName.parse("site"), DataCentre.parse("dc"))
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -61,7 +61,6 @@
             prompt = prompt,
             targetMillis = maxOf(1, targetMillis),
             leftMillis = leftMillis,
-            priority = request.route.priority,
             bodyBytes = request.body.size,
         )
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
@@ -50,7 +50,7 @@
     /** Sends [head]; the upstream is expected to read [tokensToRead] tokens of [prompt]. */
     fun send(head: RequestHead, label: String, prompt: Prompt?, tokensToRead: Int, isFreshNeeded: Boolean) {
         val nowMillis = context.nowMillis()
-        attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, request.route.priority, nowMillis)
+        attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, nowMillis)
         val leftMillis = request.deadlineMillis - nowMillis
         SessionLog.sent(request, attempt, label, context.dispatcher.recordOrNull(upstream.id), leftMillis)
         val next = UpstreamCall(upstream, head, request.body, request.id, isFreshNeeded, Answers())
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -0,0 +1,48 @@
+package marigoldward.gateway
+
+import marigoldward.core.Outcome
+import marigoldward.core.dispatch.Prompt
+import marigoldward.core.dispatch.PromptPart
+import marigoldward.gateway.message.AnswerHead
+import marigoldward.gateway.message.Header
+import marigoldward.gateway.message.Headers
+import marigoldward.gateway.message.RequestHead
+
+/** Words for tests: `X-Id`, `X-Wait`, `X-Prompt`, `X-Step`, `X-Cache`, `X-Signed`, `X-Not-Run`. */
+internal object TestDialect : Dialect {
+    private val OWN = setOf("x-wait", "x-step", "x-cache", "content-length", "expect")
+
+    override fun readRequest(head: RequestHead): Dialect.RequestFacts = Dialect.RequestFacts(
+        requestId = head.headers.first("X-Id"),
+        deadlineMillis = head.headers.first("X-Wait")?.toLong(),
+        prompt = head.headers.first("X-Prompt")?.let { Prompt(listOf(PromptPart(it, 100), PromptPart("own", 10)), 110, 5) },
+        resumesAfter = head.headers.first("Last-Event-Id"),
+    )
+
+    override fun forwarded(head: RequestHead, order: Dialect.ForwardOrder): RequestHead {
+        val step =
+            when (val step = order.step) {
+                Dialect.Step.Whole -> emptyList()
+                Dialect.Step.Prefill -> listOf(Header("X-Step", "prefill"))
+                is Dialect.Step.Decode -> listOf(Header("X-Cache", "${step.address}/${step.handle}"))
+            }
+        val resumed = order.resumeAfter?.let { listOf(Header("Last-Event-Id", it)) }.orEmpty()
+        return head.copy(headers = Headers(head.headers.endToEnd().without(OWN).entries + step + resumed))
+    }
+
+    override fun readAnswer(head: AnswerHead): Dialect.AnswerFacts = Dialect.AnswerFacts(
+        requestId = head.headers.first("X-Id"),
+        isSigned = head.headers.has("X-Signed"),
+        isNotRun = head.headers.has("X-Not-Run"),
+        isMisdirected = head.status == 421,
+        isEncoded = head.headers.has("Content-Encoding"),
+        load = null,
+    )
+
+    override fun readHandle(body: ByteArray): Outcome<String, String> = Outcome.Success(body.decodeToString())
+
+    override fun released(handle: String): RequestHead = RequestHead("DELETE", "/cache/$handle", Headers.EMPTY)
+
+    override fun ownHeaders(requestId: String?): Headers =
+        if (requestId == null) Headers.EMPTY else Headers.of("X-Id" to requestId)
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -0,0 +1,92 @@
+package marigoldward.gateway
+
+import io.netty.channel.nio.NioEventLoopGroup
+import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.EngineStage
+import marigoldward.core.dispatch.ListedUpstream
+import marigoldward.core.dispatch.PlacementCosts
+import marigoldward.core.dispatch.RetryAllowance
+import marigoldward.core.getOrNull
+import marigoldward.core.model.DataCentre
+import marigoldward.core.model.PoolName
+import marigoldward.core.model.UpstreamId
+import marigoldward.core.routes.CallerLimits
+import marigoldward.core.routes.EngineDeclaration
+import marigoldward.core.routes.RequestKind
+import marigoldward.core.routes.Route
+import marigoldward.core.routes.RouteConfiguration
+import marigoldward.core.routes.ServiceDeclaration
+import marigoldward.core.routes.ServiceShare
+import marigoldward.gateway.caller.CallerServer
+import marigoldward.gateway.session.Gateway
+import marigoldward.gateway.session.ServingContext
+import marigoldward.gateway.upstream.UpstreamPool
+import java.io.Closeable
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/** The forwarding path with real sockets and upstreams of the test's own; routes `/i/`, `/n/`, `/s/` and `/r/`. */
+internal class TestGateway(
+    upstreams: List<Pair<String, EngineStage?>>,
+    isConfigured: Boolean = true,
+    private val limits: CallerLimits = CallerLimits.DEFAULT,
+    timeoutMillis: Long = 1_500,
+) : Closeable {
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val dispatcher = Dispatcher(PLACE, PlacementCosts.DEFAULT, 1)
+    private val pool = UpstreamPool(loop, TestDialect)
+    private val context = ServingContext(loop, TestDialect, dispatcher, pool) { RetryAllowance(0.2, 64, 10_000) }
+    private val gateway = Gateway(context, Random(1))
+    val server = CallerServer(loop, { limits }, gateway::handle)
+    val port: Int get() = server.port
+
+    init {
+        context.entries = 1
+        dispatcher.list(upstreams.mapIndexed { index, (address, stage) -> listed(index, address, stage) })
+        if (isConfigured) gateway.configuration = configuration(upstreams.any { it.second != null }, timeoutMillis)
+        server.start(InetSocketAddress("127.0.0.1", 0))
+    }
+
+    fun caller(): RawCaller = RawCaller(port)
+
+    override fun close() {
+        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS).sync()
+    }
+
+    private fun listed(index: Int, address: String, stage: EngineStage?) =
+        ListedUpstream(UpstreamId.parse("upstream-$index"), SERVICE, address, PLACE, 6, false, false, stage)
+
+    private fun configuration(hasEngines: Boolean, timeoutMillis: Long): RouteConfiguration {
+        val engine = EngineDeclaration(6, 100_000, 1_000, 1_000.0, 1, 5_000, 3_000)
+        val service = ServiceDeclaration(SERVICE, 100, engine.takeIf { hasEngines })
+        val routes =
+            listOf(
+                route("/i/", RequestKind.IDEMPOTENT, 2, timeoutMillis),
+                route("/n/", RequestKind.NON_IDEMPOTENT, 2, timeoutMillis),
+                route("/s/", RequestKind.STREAM, 2, timeoutMillis),
+                route("/r/", RequestKind.STREAM, 2, timeoutMillis).copy(isResumable = true),
+            )
+        return checkNotNull(RouteConfiguration.check(1, routes, listOf(service), limits).getOrNull())
+    }
+
+    private fun route(prefix: String, kind: RequestKind, attempts: Int, timeoutMillis: Long): Route = Route(
+        name = "route$prefix",
+        host = "h.example",
+        pathPrefix = prefix,
+        kind = kind,
+        shares = listOf(ServiceShare(SERVICE, 1)),
+        timeoutMillis = timeoutMillis,
+        targetLatencyMillis = 200,
+        targetGapMillis = 200,
+        priority = 1,
+        maxAttempts = attempts,
+        isResumable = false,
+        hasPrompts = true,
+    )
+
+    private companion object {
+        val PLACE = DataCentre.parse("here")
+        val SERVICE = PoolName.parse("service")
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
@@ -0,0 +1,189 @@
+package marigoldward.gateway.session
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import marigoldward.core.dispatch.EngineStage
+import marigoldward.gateway.FakeUpstream
+import marigoldward.gateway.RawCaller
+import marigoldward.gateway.TestGateway
+
+private fun ask(path: String, headers: String = ""): String =
+    "POST $path HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Prompt: shared\r\nContent-Length: 2\r\n$headers\r\n{}"
+
+private fun event(id: Int): String = "id: $id\ndata: token $id\n\n"
+
+private fun FakeUpstream.Call.beginStream() = write(
+    "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+)
+
+private fun FakeUpstream.Call.chunk(text: String) = write("${Integer.toHexString(text.length)}\r\n$text\r\n")
+
+private fun FakeUpstream.Call.stream(vararg ids: Int) {
+    beginStream()
+    ids.forEach { chunk(event(it)) }
+    write("0\r\n\r\n")
+}
+
+private fun events(vararg ids: Int): String = ids.joinToString("") { event(it) }
+
+private fun withEngines(
+    vararg engines: Pair<EngineStage, (FakeUpstream.Call) -> Unit>,
+    test: (RawCaller, List<FakeUpstream>) -> Unit,
+) {
+    val upstreams = engines.map { FakeUpstream(it.second) }
+    TestGateway(upstreams.mapIndexed { index, upstream -> upstream.address to engines[index].first }).use { gateway ->
+        gateway.caller().use { test(it, upstreams) }
+    }
+    upstreams.forEach(FakeUpstream::close)
+}
+
+class StreamingTest :
+    DescribeSpec({
+        describe("a stream") {
+            it("is passed on event by event") {
+                withEngines(EngineStage.DECODE to { it.stream(1, 2, 3) }) { caller, _ ->
+                    caller.send(ask("/s/x"))
+                    val answer = caller.answer().shouldNotBeNull()
+                    answer.body shouldBe events(1, 2, 3)
+                    answer.isWhole shouldBe true
+                    answer.head shouldContain "X-Signed: s"
+                }
+            }
+            it("has its first event before its last is made") {
+                val gate = java.util.concurrent.CountDownLatch(1)
+                withEngines(
+                    EngineStage.DECODE to { call ->
+                        call.beginStream()
+                        call.chunk(event(1))
+                        gate.await()
+                        call.chunk(event(2))
+                        call.write("0\r\n\r\n")
+                    },
+                ) { caller, _ ->
+                    caller.send(ask("/s/x"))
+                    Thread.sleep(100)
+                    gate.count.let { gate.countDown() }
+                    caller.answer()?.body shouldBe events(1, 2)
+                }
+            }
+            it("that breaks inside an event ends without looking whole, after the last whole event") {
+                withEngines(
+                    EngineStage.DECODE to { call ->
+                        call.beginStream()
+                        call.chunk(event(1) + "id: 2\nda")
+                        call.reset()
+                    },
+                ) { caller, _ ->
+                    caller.send(ask("/s/x"))
+                    val answer = caller.answer().shouldNotBeNull()
+                    answer.isWhole shouldBe false
+                    answer.body shouldNotContain "id: 2"
+                }
+            }
+            it("goes on at another engine after the last event if its route allows that") {
+                var first = true
+                val script: (FakeUpstream.Call) -> Unit = { call ->
+                    if (first) {
+                        first = false
+                        call.beginStream()
+                        call.chunk(event(1) + event(2))
+                        Thread.sleep(50)
+                        call.reset()
+                    } else {
+                        call.stream(2, 3, 4)
+                    }
+                }
+                withEngines(EngineStage.DECODE to script, EngineStage.DECODE to script) { caller, upstreams ->
+                    caller.send(ask("/r/x"))
+                    val answer = caller.answer().shouldNotBeNull()
+                    answer.body shouldBe events(1, 2, 3, 4)
+                    answer.isWhole shouldBe true
+                    upstreams.flatMap { it.calls }.count { "Last-Event-Id: 2" in it.head } shouldBe 1
+                }
+            }
+            it("that has not begun is an unknown outcome if its engine breaks off") {
+                withEngines(EngineStage.DECODE to { it.reset() }) { caller, _ ->
+                    caller.send(ask("/s/x"))
+                    caller.answer()?.status shouldBe 502
+                }
+            }
+        }
+
+        describe("a prompt that one engine reads and another answers") {
+            val reads: (FakeUpstream.Call) -> Unit = { it.answer("handle-7") }
+
+            it("is sent to both, and the second is told where the cache is") {
+                withEngines(EngineStage.PREFILL to reads, EngineStage.DECODE to { it.stream(1) }) { caller, upstreams ->
+                    caller.send(ask("/s/x", "X-Cache: forged\r\nX-Step: forged\r\n"))
+                    caller.answer()?.body shouldBe events(1)
+                    upstreams[0].calls.single().head shouldContain "X-Step: prefill\r\n"
+                    upstreams[1].calls.single().head shouldContain "X-Cache: ${upstreams[0].address}/handle-7\r\n"
+                    upstreams[1].calls.single().head shouldNotContain "forged"
+                }
+            }
+            it("is generated by another engine if the first does not take the cache") {
+                var first = true
+                val script: (FakeUpstream.Call) -> Unit = { call ->
+                    if (first) {
+                        first = false
+                        call.answer("", "503 Service Unavailable", "X-Not-Run: 1\r\n")
+                    } else {
+                        call.stream(1)
+                    }
+                }
+                withEngines(
+                    EngineStage.PREFILL to reads,
+                    EngineStage.DECODE to script,
+                    EngineStage.DECODE to script,
+                ) { caller, upstreams ->
+                    caller.send(ask("/s/x"))
+                    caller.answer()?.body shouldBe events(1)
+                    upstreams[0].calls.size shouldBe 1
+                }
+            }
+            it("is read elsewhere if the engine that reads breaks off: that is no run") {
+                var first = true
+                val script: (FakeUpstream.Call) -> Unit = { call ->
+                    if (first) {
+                        first = false
+                        call.reset()
+                    } else {
+                        call.answer("handle-8")
+                    }
+                }
+                withEngines(
+                    EngineStage.PREFILL to script,
+                    EngineStage.PREFILL to script,
+                    EngineStage.DECODE to { it.stream(1) },
+                ) { caller, _ ->
+                    caller.send(ask("/s/x"))
+                    caller.answer()?.body shouldBe events(1)
+                }
+            }
+            it("frees the cache if nobody takes it") {
+                withEngines(
+                    EngineStage.PREFILL to { call -> call.answer(if ("DELETE" in call.head) "" else "handle-9") },
+                    EngineStage.DECODE to { it.reset() },
+                ) { caller, upstreams ->
+                    caller.send(ask("/s/x"))
+                    caller.answer()?.status shouldBe 502
+                    Thread.sleep(200)
+                    upstreams[0].calls.last().head shouldContain "DELETE /cache/handle-9 "
+                }
+            }
+        }
+
+        describe("events") {
+            it("are whole however their bytes come") {
+                val splitter = EventSplitter()
+                val text = (event(1) + "id: 2\r\ndata: x\r\n\r\n" + ": comment\n\n").toByteArray()
+                val found = text.flatMap { splitter.feed(byteArrayOf(it)) }
+                found.map { it.id } shouldBe listOf("1", "2", null)
+                found.joinToString("") { it.bytes.decodeToString() } shouldBe text.decodeToString()
+                splitter.hasPart shouldBe false
+            }
+        }
+    })
