--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
@@ -21,14 +21,12 @@
  * @property lostInstances how many instances with a disk may be lost at once
  * @property directory where the list of upstreams is read
  * @property leaseMillis how long another sender of orders may still act, in milliseconds
- * @property metricsPort the port of the metrics page
  */
 public data class ClusterSettings(
     val ip: InstanceId,
     val dataCentre: DataCentre,
     val operatorListen: InetSocketAddress,
     val rpcPort: Int,
-    val metricsPort: Int,
     val dataFolder: Path,
     val seeds: List<InetSocketAddress>,
     val isFirstStart: Boolean,
@@ -60,7 +58,6 @@
                     dataCentre = name(section, "data_centre", DataCentre::parseOrNull) ?: DataCentre.parse("invalid"),
                     operatorListen = section.address("operator_listen"),
                     rpcPort = section.whole("rpc_port", 1..MAX_PORT).toInt(),
-                    metricsPort = section.whole("metrics_port", 1..MAX_PORT).toInt(),
                     dataFolder = Path.of(section.text("data_folder")),
                     seeds = section.parsedList("seeds", "addresses as IP:PORT", ::parseAddressOrNull),
                     isFirstStart = section.flag("first_start"),
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -50,7 +50,6 @@
                 dataCentre = DataCentre.parse("dc-$number"),
                 operatorListen = InetSocketAddress(ip(number), 1),
                 rpcPort = port,
-                metricsPort = 1,
                 dataFolder = root.resolve("$number"),
                 seeds = seeds.map { InetSocketAddress(ip(it), 1) },
                 isFirstStart = isFirstStart,
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -25,6 +25,11 @@
     /** Returns what is known of [id], or null if it is not listed. */
     public fun recordOrNull(id: UpstreamId): UpstreamRecord? = records[id]
 
+    /** Returns how many engines of [service] read prompts for others. */
+    public fun readers(service: PoolName): Int = records.values.count { record ->
+        record.listed.service == service && record.listed.stage == EngineStage.PREFILL && !record.listed.isLeaving
+    }
+
     /** Takes over the directory's list; what is known of upstreams that stay listed is kept. */
     public fun list(upstreams: List<ListedUpstream>) {
         val fresh = upstreams.associate { listed ->
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
 import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.ReadGate
 import marigoldward.core.dispatch.RetryAllowance
 import marigoldward.core.model.PoolName
 import marigoldward.gateway.Dialect
@@ -18,6 +19,7 @@
     val pool: UpstreamPool,
     private val newAllowance: () -> RetryAllowance,
 ) {
+    private val gates = HashMap<PoolName, ReadGate<StreamSession>>()
     private val allowances = HashMap<PoolName, RetryAllowance>()
 
     /** How many entries share the budget for repeats. */
@@ -29,6 +31,12 @@
     /** Returns this entry's part of the budget for sending requests to [service] more than once. */
     fun allowance(service: PoolName): RetryAllowance = allowances.getOrPut(service, newAllowance)
 
+    /** Returns what lets long prompts to the engines of [service] go a few at a time. */
+    fun gate(service: PoolName): ReadGate<StreamSession> = gates.getOrPut(service) { ReadGate() }
+
+    /** Returns how many long prompts this entry may have at the engines of [service] at once. */
+    fun gateLimit(service: PoolName): Int = ReadGate.limit(dispatcher.readers(service), entries)
+
     /** Calls [action] on the loop's thread, [delayMillis] milliseconds from now. */
     fun later(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
         loop.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.dispatch.GenerationRequest
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.Placement
+import marigoldward.core.dispatch.ReadGate
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.upstream.UpstreamFailure
@@ -21,7 +22,10 @@
     private var current: UpstreamTry? = null
     private var lastEventId: String? = null
     private var hasBegun = false
-    private var prefillsSent = 0
+    private var isHeld = false
+
+    /** When the prompt was let through the gate for long ones, in milliseconds, or null. */
+    private var letThroughMillis: Long? = null
     private var heldCache: HeldCache? = null
 
     /** A KV cache that was read for this request and that nobody has taken yet. */
@@ -30,12 +34,21 @@
     override fun attempt() {
         when (val placement = place()) {
             is Placement.Whole -> generate(placement.upstream, placement.tokensToRead, Dialect.Step.Whole)
-            is Placement.Split -> readPrompt(placement)
+            is Placement.Split -> readInTurn(placement)
             is Placement.None -> giveUp(placement)
         }
     }
 
+    /** Goes on, having waited for its turn to have a long prompt read. */
+    fun letThrough() {
+        isHeld = false
+        letThroughMillis = context.nowMillis()
+        if (isOver) leaveGate() else attempt()
+    }
+
     override fun cancelAll(reason: String) {
+        context.gate(request.serviceName).forget(this)
+        leaveGate()
         current?.cancel(AttemptEnd.CANCELLED, reason)
         releaseCache()
     }
@@ -66,6 +79,7 @@
     }
 
     private fun giveUp(placement: Placement.None) {
+        leaveGate()
         val reason = placement.reason.name.lowercase()
         when {
             hasBegun -> breakOff(reason)
@@ -74,8 +88,48 @@
         }
     }
 
+    /** Long prompts are read a few at a time, so that short ones don't wait behind all of them. */
+    private fun readInTurn(placement: Placement.Split) {
+        val gate = context.gate(request.serviceName)
+        val limit = context.gateLimit(request.serviceName)
+        val waitMillis = gate.expectedWaitMillis(request.route.priority, limit)
+        when {
+            letThroughMillis != null || !gate.needsGate(placement.tokensToRead) -> readPrompt(placement)
+            gate.tryEnter(limit) -> {
+                letThroughMillis = context.nowMillis()
+                readPrompt(placement)
+            }
+            waitMillis > longestHoldMillis() -> refuseTooLong(waitMillis)
+            else -> hold(gate)
+        }
+    }
+
+    private fun longestHoldMillis(): Double = request.route.targetLatencyMillis * HOLD_PART
+
+    private fun refuseTooLong(waitMillis: Double) {
+        val retryAfterMillis = maxOf(SessionEnd.retryAfter(leftMillis), minOf(waitMillis.toLong(), leftMillis / 3))
+        end(SessionEnd.NotRun("queue", retryAfterMillis))
+    }
+
+    private fun hold(gate: ReadGate<StreamSession>) {
+        isHeld = true
+        gate.hold(this, request.route.priority, context.nowMillis())
+        context.later(longestHoldMillis().toLong()) {
+            if (isHeld && !isOver) {
+                gate.letOverdue(this)
+                letThrough()
+            }
+        }
+    }
+
+    private fun leaveGate() {
+        val sinceMillis = letThroughMillis ?: return
+        letThroughMillis = null
+        val gate = context.gate(request.serviceName)
+        gate.left(context.nowMillis() - sinceMillis, context.gateLimit(request.serviceName))?.letThrough()
+    }
+
     private fun readPrompt(placement: Placement.Split) {
-        prefillsSent++
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, placement.prefill, PrefillAnswers(placement) { sent })
         current = sent
@@ -85,6 +139,7 @@
     }
 
     private fun generate(upstream: ListedUpstream, tokensToRead: Int, step: Dialect.Step) {
+        leaveGate()
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, upstream, StreamAnswers { sent })
         current = sent
@@ -124,7 +179,12 @@
         sent.over(end, reason)
         val noted = if (end == AttemptEnd.UNREACHABLE) AttemptEnd.UNREACHABLE else AttemptEnd.NOT_RUN
         note(sent.upstream.id, noted)
-        if (mayRepeat(noted)) attempt() else endOrBreak(reason)
+        if (mayRepeat(noted)) {
+            attempt()
+        } else {
+            leaveGate()
+            endOrBreak(reason)
+        }
     }
 
     private fun failed(sent: UpstreamTry, end: AttemptEnd, reason: String) {
@@ -193,6 +253,7 @@
 
         private fun cacheRead(handle: String) {
             sent().promptRead()
+            leaveGate()
             sent().over(AttemptEnd.ANSWERED, "")
             if (isOver || current !== sent()) {
                 CacheRelease.send(context, placement.prefill, handle)
@@ -290,6 +351,9 @@
     private companion object {
         const val OK = 200
 
+        /** The part of its target for which a long prompt may wait for its turn; reading it takes the rest. */
+        const val HOLD_PART = 0.6
+
         /** After which silence an engine is asked whether it lives, in milliseconds; a usual first event is there by then. */
         const val SILENCE_MILLIS = 800L
     }
