--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -119,7 +119,8 @@
                         cluster.stop(lost)
                         cluster.wipe(lost)
                         cluster.start(lost, isFirstStart = false)
-                        cluster.store("${10 + lost} after the loss of $lost") shouldBe RouteStoreResult.Stored(10L + lost)
+                        cluster.store("${10 + lost} after the loss of $lost") shouldBe
+                            RouteStoreResult.Stored(10L + lost)
                         Thread.sleep(4_000)
                     }
                     cluster.read() shouldBe "13 after the loss of 3"
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -68,7 +68,7 @@
         return if (isTooLate) Placement.None(Placement.Reason.TOO_LATE) else best.placement
     }
 
-    /** Returns the engine that takes over the KV cache that [reader] has read for [request], or null if there is none. */
+    /** Returns the engine that takes over the KV cache that [reader] has read for [request], or null for none. */
     public fun decoderOrNull(
         request: GenerationRequest,
         reader: ListedUpstream,
@@ -84,12 +84,7 @@
     }
 
     /** Notes that a request is sent to [upstream] at [nowMillis] and has [tokensToRead] prompt tokens to read there. */
-    public fun started(
-        upstream: UpstreamId,
-        prompt: Prompt?,
-        tokensToRead: Int,
-        nowMillis: Long,
-    ): Attempt {
+    public fun started(upstream: UpstreamId, prompt: Prompt?, tokensToRead: Int, nowMillis: Long): Attempt {
         val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, nowMillis)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
@@ -190,17 +185,16 @@
     }
 
     private companion object {
-        /** Costs that differ by less are taken as equal, so that entries don't all choose the same, in milliseconds. */
+        /** Costs that differ by less are equal, so that entries don't all choose the same, in milliseconds. */
         const val NEAR_MILLIS = 2.0
 
         /** Prices that differ by less are taken as equal. */
         const val NEAR_PRICE = 0.005
 
-        /** The part of the time that is left after which a first event does not help any more: the rest takes time too. */
+        /** The part of the time left after which a first event does not help: the rest takes time too. */
         const val HOPE_PART = 0.8
 
         /** An upstream that has sent nothing for this long after a request gets no other, in milliseconds. */
         const val SILENCE_MILLIS = 600L
-
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -13,7 +13,8 @@
     private val prompt = request.prompt
     private val cacheGigabytes = prompt.promptTokens.toDouble() * request.engine.kvBytesPerToken / BYTES_PER_GIGABYTE
     private val moveMillis =
-        cacheGigabytes * BYTES_PER_GIGABYTE / (maxOf(1.0, request.engine.linkMegabitsPerSecond) * BYTES_PER_MEGABIT_MILLI)
+        cacheGigabytes * BYTES_PER_GIGABYTE /
+            (maxOf(1.0, request.engine.linkMegabitsPerSecond) * BYTES_PER_MEGABIT_MILLI)
 
     /** One way, its price, and when its first event is expected. */
     data class Priced(val placement: Placement, val price: Double, val expectedMillis: Double)
@@ -24,7 +25,8 @@
         val readMillis = costs.ownReadFactor * costs.readMillis(tokens, prompt.promptTokens)
         val expectedMillis = waitMillis + readMillis + decodeMillis(decoder)
         val price =
-            lateness(expectedMillis) + disturbance(decoder, tokens) + readAgain(tokens) + reliability(decoder) + way(decoder)
+            lateness(expectedMillis) + disturbance(decoder, tokens) + readAgain(tokens) + reliability(decoder) +
+                way(decoder)
         return Priced(Placement.Whole(decoder.listed, tokens), price, expectedMillis)
     }
 
@@ -66,8 +68,13 @@
     private fun reliability(record: UpstreamRecord): Double = record.health.failureRate * costs.failurePrice +
         if (record.listed.isCold) lateness(costs.coldMillis) else 0.0
 
-    private fun way(record: UpstreamRecord): Double =
-        if (record.listed.dataCentre == dataCentre) 0.0 else costs.remoteMegabytePrice * request.bodyBytes / BYTES_PER_MEGABYTE
+    private fun way(record: UpstreamRecord): Double = if (record.listed.dataCentre ==
+        dataCentre
+    ) {
+        0.0
+    } else {
+        costs.remoteMegabytePrice * request.bodyBytes / BYTES_PER_MEGABYTE
+    }
 
     private companion object {
         const val TOKENS_PER_UNIT = 1_000.0
--- a/core/src/main/kotlin/marigoldward/core/dispatch/ReadDelay.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/ReadDelay.kt
@@ -3,8 +3,7 @@
 /** By how much a prompt was read later than expected, in milliseconds, as seen at [seenMillis] of monotonic time. */
 public data class ReadDelay(val delayMillis: Double, val seenMillis: Long) {
     /** Returns the delay that is left of it at [nowMillis], in milliseconds: a queue shrinks once less comes. */
-    public fun leftMillis(nowMillis: Long): Double =
-        delayMillis * Math.exp(-(nowMillis - seenMillis) / LIFE_MILLIS)
+    public fun leftMillis(nowMillis: Long): Double = delayMillis * Math.exp(-(nowMillis - seenMillis) / LIFE_MILLIS)
 
     /** Returns this delay, as the average with one of [otherMillis] that was seen at [nowMillis]. */
     public fun averaged(otherMillis: Double, nowMillis: Long): ReadDelay {
--- a/core/src/main/kotlin/marigoldward/core/dispatch/RetryAllowance.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/RetryAllowance.kt
@@ -6,11 +6,7 @@
  * The budget is [ratio] times the requests of a window and [slack] more. An entry spends [USED_PART] of its own part:
  * windows slide, and the number of entries is known only as of some seconds ago.
  */
-public class RetryAllowance(
-    private val ratio: Double,
-    private val slack: Int,
-    private val windowMillis: Long,
-) {
+public class RetryAllowance(private val ratio: Double, private val slack: Int, private val windowMillis: Long) {
     private val requestTimes = ArrayDeque<Long>()
     private val repeatTimes = ArrayDeque<Long>()
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -36,7 +36,11 @@
     }
 
     /** Before the first work all caches are empty, so that prompts take longest to read in the first seconds. */
-    private fun startingChanges(gauges: List<EngineGauge>, readers: Int, decoders: List<EngineGauge>): List<StageChange> {
+    private fun startingChanges(
+        gauges: List<EngineGauge>,
+        readers: Int,
+        decoders: List<EngineGauge>,
+    ): List<StageChange> {
         val wanted = Math.round(gauges.size * START_READER_PART).toInt() - readers
         val spare = minOf(wanted, spareDecoders(gauges.size, decoders.size))
         val perDataCentre = decoders.groupingBy { it.engine.dataCentre }.eachCount()
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -77,16 +77,23 @@
         /** How long a report of load says anything, in milliseconds: about the time that a request takes. */
         private const val REPORT_LIFE_MILLIS = 1_000L
 
-
         /** How long a wait that was seen says more than what is usual, in milliseconds. */
         private const val KNOWN_MILLIS = 500L
 
-        /** How long a prefix is taken to stay cached, in milliseconds: engines keep what is used several times a minute. */
+        /** How long a prefix is taken to stay cached, in milliseconds: engines keep what is used often. */
         private const val PREFIX_LIFE_MILLIS = 20_000L
         private const val MAX_PREFIXES = 512
 
         /** Returns the record of an upstream that was just listed. */
-        public fun fromListed(listed: ListedUpstream): UpstreamRecord =
-            UpstreamRecord(listed, UpstreamHealth.UNKNOWN, persistentMapOf(), null, 0, 0, ReadDelay.NONE, persistentMapOf())
+        public fun fromListed(listed: ListedUpstream): UpstreamRecord = UpstreamRecord(
+            listed,
+            UpstreamHealth.UNKNOWN,
+            persistentMapOf(),
+            null,
+            0,
+            0,
+            ReadDelay.NONE,
+            persistentMapOf(),
+        )
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/replication/ReplicationTiming.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/ReplicationTiming.kt
@@ -13,7 +13,7 @@
         /** The timing of the programs. */
         public val DEFAULT: ReplicationTiming = ReplicationTiming(heartbeatMillis = 300, electionTimeoutMillis = 1_500)
 
-        /** The timing where a request may wait for a new leader for about a second and links take a few milliseconds. */
+        /** The timing where a request may wait about a second for a new leader; links take a few milliseconds. */
         public val PROMPT: ReplicationTiming = ReplicationTiming(heartbeatMillis = 200, electionTimeoutMillis = 800)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/Followers.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/Followers.kt
@@ -10,7 +10,6 @@
 import marigoldward.core.replication.ReplicaStep
 import marigoldward.core.replication.unchanged
 import marigoldward.core.replication.with
-import marigoldward.core.replication.unchanged
 import marigoldward.core.replication.withElectionDeadline
 
 /** How a replica takes what its leader sends. */
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -57,7 +57,8 @@
             it("goes elsewhere once the near one is full") {
                 val dispatcher = dispatcher(upstream("far", place = THERE), upstream("near"))
                 repeat(7) { dispatcher.started(UpstreamId.parse("near"), null, 0, 0) }
-                dispatcher.place(SERVICE, emptySet(), 0).shouldBeInstanceOf<Placement.Whole>().upstream.id.text shouldBe "far"
+                dispatcher.place(SERVICE, emptySet(), 0).shouldBeInstanceOf<Placement.Whole>().upstream.id.text shouldBe
+                    "far"
             }
             it("never goes to one that leaves") {
                 dispatcher(upstream("one", isLeaving = true)).place(SERVICE, emptySet(), 0) shouldBe
@@ -93,12 +94,17 @@
         }
 
         describe("short prompts while long ones wait") {
-            val dispatcher = dispatcher(upstream("reader-0", EngineStage.PREFILL), upstream("decoder", EngineStage.DECODE))
+            val dispatcher =
+                dispatcher(upstream("reader-0", EngineStage.PREFILL), upstream("decoder", EngineStage.DECODE))
             dispatcher.readPrompt("reader-0", 2_000)
 
             it("are read by an engine that generates if that takes it one step") {
                 val short = generation("summary", 500, sharedTokens = 350, targetMillis = 400)
-                dispatcher.place(short, emptySet(), 2_001).shouldBeInstanceOf<Placement.Whole>().upstream.id.text shouldBe
+                dispatcher.place(
+                    short,
+                    emptySet(),
+                    2_001,
+                ).shouldBeInstanceOf<Placement.Whole>().upstream.id.text shouldBe
                     "decoder"
             }
             it("go there too if only other engines were seen to be slow: one that was not heard of is no better") {
@@ -142,7 +148,8 @@
 
         describe("streams on engines that generate") {
             it("are not disturbed by prompts while another engine can read them") {
-                val dispatcher = dispatcher(upstream("reader-0", EngineStage.PREFILL), upstream("decoder", EngineStage.DECODE))
+                val dispatcher =
+                    dispatcher(upstream("reader-0", EngineStage.PREFILL), upstream("decoder", EngineStage.DECODE))
                 dispatcher.place(generation("x", 3_700), emptySet(), 0).shouldBeInstanceOf<Placement.Split>()
             }
             it("share their engine with prompts if no engine reads") {
@@ -153,7 +160,9 @@
                 val leaving = upstream("decoder-1", EngineStage.DECODE)
                 val reader = upstream("reader-0", EngineStage.PREFILL)
                 val dispatcher = dispatcher(reader, leaving, upstream("decoder-2", EngineStage.DECODE))
-                dispatcher.list(listOf(reader, leaving.copy(isLeaving = true), upstream("decoder-2", EngineStage.DECODE)))
+                dispatcher.list(
+                    listOf(reader, leaving.copy(isLeaving = true), upstream("decoder-2", EngineStage.DECODE)),
+                )
                 dispatcher.decoderOrNull(generation("x", 1_100), reader, emptySet(), 0)?.id?.text shouldBe "decoder-2"
             }
         }
--- a/core/src/test/kotlin/marigoldward/core/dispatch/RetryRulesTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/RetryRulesTest.kt
@@ -46,7 +46,8 @@
                 next(booking, AttemptEnd.MISDIRECTED) shouldBe RetryRules.Next.SEND_AGAIN_FROM_BUDGET
             }
             it("is not sent on for ever") {
-                next(booking, AttemptEnd.NOT_RUN, AttemptEnd.NOT_RUN, AttemptEnd.NOT_RUN) shouldBe RetryRules.Next.GIVE_UP
+                next(booking, AttemptEnd.NOT_RUN, AttemptEnd.NOT_RUN, AttemptEnd.NOT_RUN) shouldBe
+                    RetryRules.Next.GIVE_UP
             }
         }
         describe("a request that may be repeated") {
--- a/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
@@ -23,9 +23,14 @@
     return EngineGauge(engine, stage, running = minOf(queue, 1), waiting = maxOf(0, queue - 1), usedPart, false, orders)
 }
 
-private fun fleet(readers: Int, decoders: Int, queue: Int, usedPart: Double = 0.1, orders: Long = 1): List<EngineGauge> =
-    List(readers) { gauge(it, EngineStage.PREFILL, queue, minOf(usedPart, 0.1), orders) } +
-        List(decoders) { gauge(readers + it, EngineStage.DECODE, 0, usedPart, orders) }
+private fun fleet(
+    readers: Int,
+    decoders: Int,
+    queue: Int,
+    usedPart: Double = 0.1,
+    orders: Long = 1,
+): List<EngineGauge> = List(readers) { gauge(it, EngineStage.PREFILL, queue, minOf(usedPart, 0.1), orders) } +
+    List(decoders) { gauge(readers + it, EngineStage.DECODE, 0, usedPart, orders) }
 
 private fun changes(gauges: List<EngineGauge>, rounds: Int = 5, listed: Int = gauges.size): List<StageChange> {
     var planner = StagePlanner.INITIAL
@@ -71,7 +76,11 @@
         }
         describe("a fleet that has done nothing yet") {
             it("gets more engines that read, since all caches are empty") {
-                changes(fleet(readers = 5, decoders = 8, queue = 0, usedPart = 0.0, orders = 0), rounds = 1) shouldHaveSize 3
+                changes(
+                    fleet(readers = 5, decoders = 8, queue = 0, usedPart = 0.0, orders = 0),
+                    rounds = 1,
+                ) shouldHaveSize
+                    3
             }
         }
         describe("a fleet of which a part does not answer") {
--- a/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
@@ -37,7 +37,12 @@
                     .shouldBeNull()
             }
             it("takes in the new incarnation of a replica that lost its disk") {
-                PLANNER.nextChangeOrNull(leader(three, emptyMap()), listOf(newcomer("c", 7)), emptyMap(), NOW_MILLIS) shouldBe
+                PLANNER.nextChangeOrNull(
+                    leader(three, emptyMap()),
+                    listOf(newcomer("c", 7)),
+                    emptyMap(),
+                    NOW_MILLIS,
+                ) shouldBe
                     MemberChange.AddLearner(id("c", 7))
             }
             it("removes the old incarnation once the new one is a learner") {
@@ -65,7 +70,12 @@
             }
             it("gives up a learner that lost its disk once more") {
                 val members = three.copy(learners = setOf(id("c", 7)))
-                PLANNER.nextChangeOrNull(leader(members, emptyMap()), listOf(newcomer("c", 8)), emptyMap(), NOW_MILLIS) shouldBe
+                PLANNER.nextChangeOrNull(
+                    leader(members, emptyMap()),
+                    listOf(newcomer("c", 8)),
+                    emptyMap(),
+                    NOW_MILLIS,
+                ) shouldBe
                     MemberChange.Remove(id("c", 7))
             }
         }
--- a/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
@@ -89,8 +89,9 @@
 
     private fun describe(): String = replicas.values.joinToString { replica ->
         val state = replica.state
-        "${replica.id} up=${replica.isUp} term=${state.hardState.term} log=${state.log.lastIndex}/${state.commitIndex} " +
-            "role=${state.role::class.simpleName} members=${state.log.members}"
+        val log = "${state.log.lastIndex}/${state.commitIndex}"
+        val role = state.role::class.simpleName
+        "${replica.id} up=${replica.isUp} term=${state.hardState.term} log=$log role=$role members=${state.log.members}"
     }
 
     private fun step() {
--- a/core/src/test/kotlin/marigoldward/core/routes/RouteConfigurationTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/routes/RouteConfigurationTest.kt
@@ -75,7 +75,11 @@
         }
         describe("the shares of a route") {
             val split = route().copy(
-                shares = listOf(ServiceShare(SERVICE, 90), ServiceShare(PoolName.parse("b"), 10), ServiceShare(PoolName.parse("c"), 0)),
+                shares = listOf(
+                    ServiceShare(SERVICE, 90),
+                    ServiceShare(PoolName.parse("b"), 10),
+                    ServiceShare(PoolName.parse("c"), 0),
+                ),
             )
             it("are followed by the draw, and a weight of 0 never") {
                 split.serviceFor(0.0).service shouldBe SERVICE
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -110,7 +110,14 @@
         headSinceMillis = null
         val headers = Headers(request.headers().map { Header(it.key, it.value) })
         val isOld = request.protocolVersion() != HttpVersion.HTTP_1_1
-        val keeps = if (isOld) headers.hasToken("Connection", "keep-alive") else !headers.hasToken("Connection", "close")
+        val keeps = if (isOld) {
+            headers.hasToken(
+                "Connection",
+                "keep-alive",
+            )
+        } else {
+            !headers.hasToken("Connection", "close")
+        }
         val head = RequestHead(request.method().name(), request.uri(), headers)
         val problem = RequestCheck.problemOrNull(head)
         if (problem != null) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestCheck.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestCheck.kt
@@ -13,7 +13,9 @@
         return when {
             !head.target.startsWith("/") -> "the target is not a path"
             head.target.any { it !in VISIBLE } -> "the target has a character that must be escaped"
-            encodings.any { !it.value.trim().equals("chunked", ignoreCase = true) } -> "the body has an unknown encoding"
+            encodings.any {
+                !it.value.trim().equals("chunked", ignoreCase = true)
+            } -> "the body has an unknown encoding"
             encodings.size > 1 -> "the body's encoding stands twice"
             encodings.isNotEmpty() && head.headers.has("Content-Length") -> "the request has both a length and chunks"
             hosts != 1 -> "the request does not name one host"
--- a/gateway/src/main/kotlin/marigoldward/gateway/directory/DirectoryBook.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/directory/DirectoryBook.kt
@@ -42,7 +42,7 @@
     }
 
     companion object {
-        /** The age at which an entry no longer waits for others, in milliseconds: two readings that it should have got. */
+        /** The age at which an entry no longer waits for others, in milliseconds: it missed a reading. */
         private const val OLD_MILLIS = 1_500L
 
         /** How often an entry reads the list that is on its own, in milliseconds. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/message/HttpText.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/message/HttpText.kt
@@ -30,7 +30,8 @@
     }
 
     /** Returns the interim answer that lets a caller send its body. */
-    fun continued(allocator: ByteBufAllocator): ByteBuf = bytes(allocator, "HTTP/1.1 100 Continue\r\n\r\n", ByteArray(0))
+    fun continued(allocator: ByteBufAllocator): ByteBuf =
+        bytes(allocator, "HTTP/1.1 100 Continue\r\n\r\n", ByteArray(0))
 
     /** Returns one chunk of a body in chunks. */
     fun chunk(allocator: ByteBufAllocator, data: ByteArray): ByteBuf {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/AnswerVerdict.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/AnswerVerdict.kt
@@ -18,7 +18,7 @@
     companion object {
         private const val SERVER_ERROR = 500
 
-        /** The statuses by which this system promises that a request has not run; an upstream's must not pass for it. */
+        /** The statuses by which this system promises that a request has not run. */
         private val PROMISES = setOf(408, 421, 429, 503)
 
         /** Judges an answer by its [head] and what it says of itself. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -46,7 +46,13 @@
 
     private fun send(upstream: ListedUpstream) {
         val order =
-            Dialect.ForwardOrder(upstream.id, leftMillis, request.route.priority, Dialect.Step.Whole, resumeAfter = null)
+            Dialect.ForwardOrder(
+                upstream.id,
+                leftMillis,
+                request.route.priority,
+                Dialect.Step.Whole,
+                resumeAfter = null,
+            )
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, upstream, Answers { sent })
         current = sent
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -47,11 +47,12 @@
     }
 
     /** Whether the request is sent again after an attempt that ended as [end]; takes it out of the budget if so. */
-    protected fun mayRepeat(end: AttemptEnd): Boolean = when (RetryRules.next(request.route, history, end, leftMillis)) {
-        RetryRules.Next.SEND_AGAIN -> true
-        RetryRules.Next.SEND_AGAIN_FROM_BUDGET -> takeRepeat()
-        RetryRules.Next.GIVE_UP -> false
-    }
+    protected fun mayRepeat(end: AttemptEnd): Boolean =
+        when (RetryRules.next(request.route, history, end, leftMillis)) {
+            RetryRules.Next.SEND_AGAIN -> true
+            RetryRules.Next.SEND_AGAIN_FROM_BUDGET -> takeRepeat()
+            RetryRules.Next.GIVE_UP -> false
+        }
 
     /** Takes one repeat out of this entry's part of the budget. */
     protected fun takeRepeat(): Boolean =
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -99,7 +99,7 @@
                 letThroughMillis = context.nowMillis()
                 readPrompt(placement)
             }
-            waitMillis > longestHoldMillis() -> refuseTooLong(waitMillis)
+            waitMillis > maxOf(longestHoldMillis(), leftMillis * HOPE_PART) -> refuseTooLong(waitMillis)
             else -> hold(gate)
         }
     }
@@ -204,7 +204,8 @@
     private fun takeOver(): Boolean {
         val cache = heldCache ?: return false
         val generation = generationOrNull() ?: return false
-        val decoder = context.dispatcher.decoderOrNull(generation, cache.engine, tried, context.nowMillis()) ?: return false
+        val decoder =
+            context.dispatcher.decoderOrNull(generation, cache.engine, tried, context.nowMillis()) ?: return false
         generate(decoder, 0, Dialect.Step.Decode(cache.engine.address, cache.handle))
         return true
     }
@@ -354,7 +355,10 @@
         /** The part of its target for which a long prompt may wait for its turn; reading it takes the rest. */
         const val HOLD_PART = 0.6
 
-        /** After which silence an engine is asked whether it lives, in milliseconds; a usual first event is there by then. */
+        /** The part of the time left that a long prompt may wait for its turn in the worst case. */
+        const val HOPE_PART = 0.25
+
+        /** After which silence an engine is asked whether it lives, in milliseconds: a usual first event is there. */
         const val SILENCE_MILLIS = 800L
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -42,7 +42,7 @@
         }
     }
 
-    /** Closes the connections that the upstream will soon close, and those to upstreams that [isListed] does not know. */
+    /** Closes the connections that the upstream will soon close, and those to upstreams that are not listed. */
     fun closeOld(isListed: (UpstreamId) -> Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
         idle.entries.removeIf { (id, connections) ->
--- a/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
@@ -15,7 +15,9 @@
 internal class FakeUpstream(private val script: (FakeUpstream.Call) -> Unit) : Closeable {
     /** One request as it came over the wire. */
     class Call(val head: String, val body: ByteArray, val socket: Socket, val numberOnConnection: Int) {
-        val id: String get() = head.lineSequence().firstOrNull { it.startsWith("X-Id: ") }?.removePrefix("X-Id: ").orEmpty()
+        val id: String get() = head.lineSequence().firstOrNull {
+            it.startsWith("X-Id: ")
+        }?.removePrefix("X-Id: ").orEmpty()
 
         fun write(text: String) {
             socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
@@ -24,7 +26,9 @@
 
         /** Answers with a whole signed answer. */
         fun answer(body: String, status: String = "200 OK", headers: String = "") {
-            write("HTTP/1.1 $status\r\nX-Id: $id\r\nX-Signed: s\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body")
+            write(
+                "HTTP/1.1 $status\r\nX-Id: $id\r\nX-Signed: s\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body",
+            )
         }
 
         /** Closes the connection so that the peer sees a reset. */
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -15,7 +15,9 @@
     override fun readRequest(head: RequestHead): Dialect.RequestFacts = Dialect.RequestFacts(
         requestId = head.headers.first("X-Id"),
         deadlineMillis = head.headers.first("X-Wait")?.toLong(),
-        prompt = head.headers.first("X-Prompt")?.let { Prompt(listOf(PromptPart(it, 100), PromptPart("own", 10)), 110, 5) },
+        prompt = head.headers.first("X-Prompt")?.let {
+            Prompt(listOf(PromptPart(it, 100), PromptPart("own", 10)), 110, 5)
+        },
         resumesAfter = head.headers.first("Last-Event-Id"),
     )
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
@@ -80,9 +80,11 @@
         describe("a request that could be understood in two ways is refused and not forwarded") {
             mapOf(
                 "both a length and chunks" to
-                    "POST /i/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                    "POST /i/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n" +
+                    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 "two lengths" to
-                    "POST /i/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcde",
+                    "POST /i/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n" +
+                    "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcde",
                 "an unknown encoding" to
                     "POST /i/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
                 "no host" to "GET /i/x HTTP/1.1\r\nX-Id: 1\r\n\r\n",
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
@@ -16,7 +16,8 @@
 private fun event(id: Int): String = "id: $id\ndata: token $id\n\n"
 
 private fun FakeUpstream.Call.beginStream() = write(
-    "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Signed: s\r\n" +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 )
 
 private fun FakeUpstream.Call.chunk(text: String) = write("${Integer.toHexString(text.length)}\r\n$text\r\n")
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -58,12 +58,14 @@
         }
     }
 
-    /** Reads the settings in [text] of [file] while the process runs; null, with a line in the log, if they are not valid. */
+    /** Reads the settings in [text] of [file] again; null, with a line in the log, if they are not valid. */
     public fun <T> reloadSettings(file: File, text: String, read: (IniDocument, ProblemList) -> T): T? {
         val problems = ProblemList.create()
         val settings =
             when (val document = IniDocument.parse(SourceFile(file.path, text))) {
-                is Outcome.Failure -> null.also { document.error.forEach { problems.add(it.file, it.line, it.message) } }
+                is Outcome.Failure -> null.also {
+                    document.error.forEach { problems.add(it.file, it.line, it.message) }
+                }
                 is Outcome.Success -> read(document.value, problems)
             }
         if (problems.isNotEmpty()) {
