--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -46,7 +46,7 @@
         private const val MAX_DOUBLINGS = 3
 
         /** Until the directory has caught up with an address that changed hands, in milliseconds. */
-        private const val MISDIRECTED_MILLIS = 5_000L
+        private const val MISDIRECTED_MILLIS = 2_000L
 
         /** The health of an upstream of which nothing is known. */
         public val UNKNOWN: UpstreamHealth = UpstreamHealth(0, 0.0, NEVER_MILLIS, NEVER_MILLIS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -78,7 +78,8 @@
      * @property requestId the request that it answers, or null if it does not say
      * @property isSigned whether it bears the upstream's own signature
      * @property isNotRun whether it says that the request was not run
-     * @property isMisdirected whether another upstream has the address
+     * @property isMisdirected whether the request was meant for another upstream or another step
+     * @property answeredBy the upstream that answers, or null if it does not say
      * @property isEncoded whether the body is not the upstream's own bytes
      * @property load the upstream's load, or null
      */
@@ -87,6 +88,7 @@
         val isSigned: Boolean,
         val isNotRun: Boolean,
         val isMisdirected: Boolean,
+        val answeredBy: String?,
         val isEncoded: Boolean,
         val load: ReportedLoad?,
     )
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
@@ -80,9 +80,12 @@
         call?.cancel()
     }
 
+    /** An engine that has just changed its stage refuses like one that has another's address. */
     private inner class Answers : UpstreamListener {
         override fun onHead(head: AnswerHead) {
-            val facts = context.dialect.readAnswer(head)
+            val told = context.dialect.readAnswer(head)
+            val isOwn = told.answeredBy == upstream.id.text
+            val facts = if (isOwn) told.copy(isMisdirected = false) else told
             context.dispatcher.heard(upstream.id, facts.load, context.nowMillis())
             listener.onHead(head, facts)
         }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -37,6 +37,7 @@
         isSigned = head.headers.has("X-Signed"),
         isNotRun = head.headers.has("X-Not-Run"),
         isMisdirected = head.status == 421,
+        answeredBy = head.headers.first("X-By"),
         isEncoded = head.headers.has("Content-Encoding"),
         load = null,
     )
