Caches that queue at an engine count; a request that may have run is never refused at the gate

Cause: the engine that generates for a data centre got every cache of its entries while others idled; a prompt whose stream had begun elsewhere could have been answered as not run. Ruled out: slow engines (the waits end with the burst). Tests: dispatch by queued caches, a burst of long prompts over sockets.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
@@ -7,7 +7,7 @@
  *
  * @property number tells attempts apart
  * @property tokensToRead the prompt tokens that the upstream is expected to read, 0 for a plain service
- * @property isReading whether the prompt has not been read yet
+ * @property isReading whether the first event, or the end of the prompt, has not come yet
  * @property startedMillis when it was sent, in milliseconds of monotonic time
  */
 public data class Attempt(
@@ -16,4 +16,13 @@
     val tokensToRead: Int,
     val isReading: Boolean,
     val startedMillis: Long,
-)
+) {
+    /** Whether the upstream takes a KV cache over and reads nothing itself. */
+    val isTakeOver: Boolean get() = tokensToRead == TAKE_OVER_TOKENS
+
+    /** Numbers. */
+    public companion object {
+        /** What an engine has to read that takes a KV cache over: the token after it. */
+        public const val TAKE_OVER_TOKENS: Int = 1
+    }
+}
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -152,10 +152,16 @@
     }
 
     /** An engine that reads prompts says nothing until it has read one, however long others wait. */
-    private fun isSilent(record: UpstreamRecord, nowMillis: Long): Boolean = record.attempts.values.any { attempt ->
-        !attempt.isReading &&
-            record.health.heardMillis < attempt.startedMillis &&
-            nowMillis - attempt.startedMillis > SILENCE_MILLIS
+    private fun isSilent(record: UpstreamRecord, nowMillis: Long): Boolean {
+        val longestMillis =
+            when (record.listed.stage) {
+                null -> SILENCE_MILLIS
+                EngineStage.DECODE -> ENGINE_SILENCE_MILLIS
+                EngineStage.PREFILL -> return false
+            }
+        return record.attempts.values.any { attempt ->
+            record.health.heardMillis < attempt.startedMillis && nowMillis - attempt.startedMillis > longestMillis
+        }
     }
 
     private fun reason(service: PoolName): Placement.Reason =
@@ -196,5 +202,8 @@
 
         /** An upstream that has sent nothing for this long after a request gets no other, in milliseconds. */
         const val SILENCE_MILLIS = 600L
+
+        /** The same for an engine that generates, where caches come one after the other, in milliseconds. */
+        const val ENGINE_SILENCE_MILLIS = 1_500L
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -21,9 +21,8 @@
 
     /** One engine that generates reads [tokens] tokens itself, between the tokens of its other streams. */
     fun whole(decoder: UpstreamRecord, tokens: Int): Priced {
-        val waitMillis = decoder.readWaitMillis(costs, 0.0, nowMillis)
         val readMillis = costs.ownReadFactor * costs.readMillis(tokens, prompt.promptTokens)
-        val expectedMillis = waitMillis + readMillis + decodeMillis(decoder)
+        val expectedMillis = readMillis + decodeMillis(decoder)
         val price =
             lateness(expectedMillis) + disturbance(decoder, tokens) + readAgain(tokens) + reliability(decoder) +
                 way(decoder)
@@ -46,13 +45,23 @@
     private fun lateness(expectedMillis: Double): Double =
         costs.latenessPrice(expectedMillis, request.targetMillis, request.leftMillis)
 
-    private fun decodeMillis(decoder: UpstreamRecord): Double =
-        costs.firstTokenMillis + costs.streamMillis * decoder.requests(nowMillis) +
-            decoder.ownReadingTokens / costs.readTokensPerMilli
+    /** Caches come to an engine one after the other, so those on their way there are waited for. */
+    private fun decodeMillis(decoder: UpstreamRecord): Double = costs.firstTokenMillis +
+        costs.streamMillis * decoder.requests(nowMillis) +
+        moveMillis * (decoder.ownTakeOvers + decoder.othersWaiting(nowMillis)) +
+        decoder.readWaitMillis(costs, 0.0, nowMillis)
 
     /** One slow step is within every stream's allowed pause; each further one may make some of them late. */
     private fun disturbance(decoder: UpstreamRecord, tokens: Int): Double {
-        val waiting = decoder.attempts.values.sumOf { if (it.isReading) steps(it.tokensToRead) else 0 }
+        val waiting = decoder.attempts.values.sumOf {
+            if (it.isReading &&
+                !it.isTakeOver
+            ) {
+                steps(it.tokensToRead)
+            } else {
+                0
+            }
+        }
         val streams = maxOf(decoder.requests(nowMillis), USUAL_STREAMS)
         return costs.disturbPrice * (1 + streams * (waiting + steps(tokens) - 1))
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -26,6 +26,15 @@
     /** The prompt tokens that the entry's own attempts still have to read there. */
     val ownReadingTokens: Int get() = attempts.values.sumOf { if (it.isReading) it.tokensToRead else 0 }
 
+    /** The entry's own attempts there that take a KV cache over and have not begun to generate. */
+    val ownTakeOvers: Int get() = attempts.values.count { it.isReading && it.isTakeOver }
+
+    /** The requests of others that wait there by the last report, 0 once that is old. */
+    public fun othersWaiting(nowMillis: Long): Int {
+        val known = report ?: return 0
+        return if (nowMillis - reportMillis > REPORT_LIFE_MILLIS) 0 else known.waiting
+    }
+
     /**
      * Returns how long a prompt waits there before it is read, in milliseconds.
      *
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -167,6 +167,31 @@
             }
         }
 
+        describe("engines that generate") {
+            val reader = upstream("reader-0", EngineStage.PREFILL)
+            val near = upstream("near", EngineStage.DECODE)
+            val far = upstream("far", EngineStage.DECODE, place = THERE)
+
+            it("are the near ones while caches come there at once") {
+                val dispatcher = dispatcher(reader, near, far)
+                dispatcher.decoderOrNull(generation("x", 1_100), reader, emptySet(), 0)?.id?.text shouldBe "near"
+            }
+            it("are others once caches queue at the near one") {
+                val dispatcher = dispatcher(reader, near, far)
+                val attempt = dispatcher.started(near.id, null, Attempt.TAKE_OVER_TOKENS, 0)
+                dispatcher.promptRead(attempt, 1_100)
+                dispatcher.ended(attempt, AttemptEnd.ANSWERED, 1_200)
+                val request = generation("x", 1_100, targetMillis = 400)
+                dispatcher.decoderOrNull(request, reader, emptySet(), 1_201)?.id?.text shouldBe "far"
+            }
+            it("are others while many of the entry's own caches are on their way to the near one") {
+                val dispatcher = dispatcher(reader, near, far)
+                repeat(30) { dispatcher.started(near.id, null, Attempt.TAKE_OVER_TOKENS, 0) }
+                val request = generation("x", 1_100, targetMillis = 400)
+                dispatcher.decoderOrNull(request, reader, emptySet(), 10)?.id?.text shouldBe "far"
+            }
+        }
+
         describe("the directory") {
             it("keeps what is known of an upstream, and forgets it if another has its address") {
                 val first = upstream("reader-0", EngineStage.PREFILL)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
@@ -19,7 +19,7 @@
     val pool: UpstreamPool,
     private val newAllowance: () -> RetryAllowance,
 ) {
-    private val gates = HashMap<PoolName, ReadGate<StreamSession>>()
+    private val gates = HashMap<PoolName, ReadGate<ReadTurn>>()
     private val allowances = HashMap<PoolName, RetryAllowance>()
 
     /** How many entries share the budget for repeats. */
@@ -32,7 +32,7 @@
     fun allowance(service: PoolName): RetryAllowance = allowances.getOrPut(service, newAllowance)
 
     /** Returns what lets long prompts to the engines of [service] go a few at a time. */
-    fun gate(service: PoolName): ReadGate<StreamSession> = gates.getOrPut(service) { ReadGate() }
+    fun gate(service: PoolName): ReadGate<ReadTurn> = gates.getOrPut(service) { ReadGate() }
 
     /** Returns how many long prompts this entry may have at the engines of [service] at once. */
     fun gateLimit(service: PoolName): Int = ReadGate.limit(dispatcher.readers(service), entries)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -1,12 +1,12 @@
 package marigoldward.gateway.session
 
 import marigoldward.core.Outcome
+import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.core.dispatch.GenerationRequest
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.Placement
-import marigoldward.core.dispatch.ReadGate
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.upstream.UpstreamFailure
@@ -22,10 +22,7 @@
     private var current: UpstreamTry? = null
     private var lastEventId: String? = null
     private var hasBegun = false
-    private var isHeld = false
-
-    /** When the prompt was let through the gate for long ones, in milliseconds, or null. */
-    private var letThroughMillis: Long? = null
+    private val turn = ReadTurn(context, request) { if (!isOver) attempt() }
     private var heldCache: HeldCache? = null
 
     /** A KV cache that was read for this request and that nobody has taken yet. */
@@ -39,16 +36,8 @@
         }
     }
 
-    /** Goes on, having waited for its turn to have a long prompt read. */
-    fun letThrough() {
-        isHeld = false
-        letThroughMillis = context.nowMillis()
-        if (isOver) leaveGate() else attempt()
-    }
-
     override fun cancelAll(reason: String) {
-        context.gate(request.serviceName).forget(this)
-        leaveGate()
+        turn.leave()
         current?.cancel(AttemptEnd.CANCELLED, reason)
         releaseCache()
     }
@@ -79,7 +68,7 @@
     }
 
     private fun giveUp(placement: Placement.None) {
-        leaveGate()
+        turn.leave()
         val reason = placement.reason.name.lowercase()
         when {
             hasBegun -> breakOff(reason)
@@ -88,47 +77,19 @@
         }
     }
 
-    /** Long prompts are read a few at a time, so that short ones don't wait behind all of them. */
+    /** Long prompts are read a few at a time; one that has begun to run is not held up any more. */
     private fun readInTurn(placement: Placement.Split) {
-        val gate = context.gate(request.serviceName)
-        val limit = context.gateLimit(request.serviceName)
-        val waitMillis = gate.expectedWaitMillis(request.route.priority, limit)
-        when {
-            letThroughMillis != null || !gate.needsGate(placement.tokensToRead) -> readPrompt(placement)
-            gate.tryEnter(limit) -> {
-                letThroughMillis = context.nowMillis()
-                readPrompt(placement)
+        if (history.mayHaveRun) return readPrompt(placement)
+        when (val verdict = turn.take(placement.tokensToRead, leftMillis)) {
+            ReadTurn.Verdict.Now -> readPrompt(placement)
+            ReadTurn.Verdict.Later -> Unit
+            is ReadTurn.Verdict.TooLong -> {
+                val retryAfterMillis = minOf(verdict.waitMillis, leftMillis / RETRY_PARTS)
+                end(SessionEnd.NotRun("queue", maxOf(SessionEnd.retryAfter(leftMillis), retryAfterMillis)))
             }
-            waitMillis > maxOf(longestHoldMillis(), leftMillis * HOPE_PART) -> refuseTooLong(waitMillis)
-            else -> hold(gate)
         }
     }
 
-    private fun longestHoldMillis(): Double = request.route.targetLatencyMillis * HOLD_PART
-
-    private fun refuseTooLong(waitMillis: Double) {
-        val retryAfterMillis = maxOf(SessionEnd.retryAfter(leftMillis), minOf(waitMillis.toLong(), leftMillis / 3))
-        end(SessionEnd.NotRun("queue", retryAfterMillis))
-    }
-
-    private fun hold(gate: ReadGate<StreamSession>) {
-        isHeld = true
-        gate.hold(this, request.route.priority, context.nowMillis())
-        context.later(longestHoldMillis().toLong()) {
-            if (isHeld && !isOver) {
-                gate.letOverdue(this)
-                letThrough()
-            }
-        }
-    }
-
-    private fun leaveGate() {
-        val sinceMillis = letThroughMillis ?: return
-        letThroughMillis = null
-        val gate = context.gate(request.serviceName)
-        gate.left(context.nowMillis() - sinceMillis, context.gateLimit(request.serviceName))?.letThrough()
-    }
-
     private fun readPrompt(placement: Placement.Split) {
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, placement.prefill, PrefillAnswers(placement) { sent })
@@ -139,7 +100,7 @@
     }
 
     private fun generate(upstream: ListedUpstream, tokensToRead: Int, step: Dialect.Step) {
-        leaveGate()
+        turn.leave()
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, upstream, StreamAnswers { sent })
         current = sent
@@ -182,7 +143,7 @@
         if (mayRepeat(noted)) {
             attempt()
         } else {
-            leaveGate()
+            turn.leave()
             endOrBreak(reason)
         }
     }
@@ -194,7 +155,7 @@
         if (!mayRepeat(end)) {
             releaseCache()
             endOrBreak(reason)
-        } else if (end != AttemptEnd.NOT_RUN || !takeOver()) {
+        } else if (end !in NOT_TAKEN || !takeOver()) {
             releaseCache()
             attempt()
         }
@@ -206,7 +167,7 @@
         val generation = generationOrNull() ?: return false
         val decoder =
             context.dispatcher.decoderOrNull(generation, cache.engine, tried, context.nowMillis()) ?: return false
-        generate(decoder, 0, Dialect.Step.Decode(cache.engine.address, cache.handle))
+        generate(decoder, Attempt.TAKE_OVER_TOKENS, Dialect.Step.Decode(cache.engine.address, cache.handle))
         return true
     }
 
@@ -254,7 +215,7 @@
 
         private fun cacheRead(handle: String) {
             sent().promptRead()
-            leaveGate()
+            turn.leave()
             sent().over(AttemptEnd.ANSWERED, "")
             if (isOver || current !== sent()) {
                 CacheRelease.send(context, placement.prefill, handle)
@@ -352,11 +313,11 @@
     private companion object {
         const val OK = 200
 
-        /** The part of its target for which a long prompt may wait for its turn; reading it takes the rest. */
-        const val HOLD_PART = 0.6
+        /** A caller waits for at most this part of its time before it comes again. */
+        const val RETRY_PARTS = 3
 
-        /** The part of the time left that a long prompt may wait for its turn in the worst case. */
-        const val HOPE_PART = 0.25
+        /** How an attempt ends that leaves the KV cache where it is. */
+        val NOT_TAKEN = setOf(AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED, AttemptEnd.UNREACHABLE)
 
         /** After which silence an engine is asked whether it lives, in milliseconds: a usual first event is there. */
         const val SILENCE_MILLIS = 800L
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -8,16 +8,14 @@
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.RequestHead
 
-/** Words for tests: `X-Id`, `X-Wait`, `X-Prompt`, `X-Step`, `X-Cache`, `X-Signed`, `X-Not-Run`. */
+/** Words for tests: `X-Id`, `X-Wait`, `X-Prompt`, `X-Tokens`, `X-Step`, `X-Cache`, `X-Signed`, `X-Not-Run`. */
 internal object TestDialect : Dialect {
     private val OWN = setOf("x-wait", "x-step", "x-cache", "content-length", "expect")
 
     override fun readRequest(head: RequestHead): Dialect.RequestFacts = Dialect.RequestFacts(
         requestId = head.headers.first("X-Id"),
         deadlineMillis = head.headers.first("X-Wait")?.toLong(),
-        prompt = head.headers.first("X-Prompt")?.let {
-            Prompt(listOf(PromptPart(it, 100), PromptPart("own", 10)), 110, 5)
-        },
+        prompt = head.headers.first("X-Prompt")?.let { prompt(it, head.headers.first("X-Tokens")?.toInt() ?: 10) },
         resumesAfter = head.headers.first("Last-Event-Id"),
     )
 
@@ -48,4 +46,7 @@
 
     override fun ownHeaders(requestId: String?): Headers =
         if (requestId == null) Headers.EMPTY else Headers.of("X-Id" to requestId)
+
+    private fun prompt(shared: String, ownTokens: Int): Prompt =
+        Prompt(listOf(PromptPart(shared, 100), PromptPart("own", ownTokens)), 100 + ownTokens, 5)
 }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -31,6 +31,7 @@
     isConfigured: Boolean = true,
     private val limits: CallerLimits = CallerLimits.DEFAULT,
     timeoutMillis: Long = 1_500,
+    private val targetLatencyMillis: Long = 200,
 ) : Closeable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -77,7 +78,7 @@
         kind = kind,
         shares = listOf(ServiceShare(SERVICE, 1)),
         timeoutMillis = timeoutMillis,
-        targetLatencyMillis = 200,
+        targetLatencyMillis = targetLatencyMillis,
         targetGapMillis = 200,
         priority = 1,
         maxAttempts = attempts,
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
@@ -177,6 +177,30 @@
             }
         }
 
+        describe("a burst of long prompts") {
+            it("is read a few at a time, and all are answered") {
+                val release = java.util.concurrent.Semaphore(0)
+                val reading = java.util.concurrent.atomic.AtomicInteger()
+                val reader = FakeUpstream { call ->
+                    reading.incrementAndGet()
+                    release.acquire()
+                    reading.decrementAndGet()
+                    call.answer("handle")
+                }
+                val decoder = FakeUpstream { it.stream(1) }
+                val engines = listOf(reader.address to EngineStage.PREFILL, decoder.address to EngineStage.DECODE)
+                TestGateway(engines, timeoutMillis = 20_000, targetLatencyMillis = 10_000).use { gateway ->
+                    val callers = List(3) { gateway.caller() }
+                    callers.forEach { it.send(ask("/s/x", "X-Tokens: 20000\r\n")) }
+                    Thread.sleep(300)
+                    reading.get() shouldBe 2
+                    release.release(3)
+                    callers.forEach { it.answer()?.body shouldBe events(1) }
+                    reader.calls.size shouldBe 3
+                }
+            }
+        }
+
         describe("events") {
             it("are whole however their bytes come") {
                 val splitter = EventSplitter()
