--- a/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
@@ -52,9 +52,13 @@
     private fun submit(document: RouteDocument): RouteStoreResult {
         val answer = CompletableFuture<SubmitReply>()
         val command = ControlCommand.StoreRoutes(document)
-        if (!duty.offer(ReplicaDutyEvent.Submit(command, answer::complete))) return RouteStoreResult.Unknown
+        if (!duty.offer(ReplicaDutyEvent.Submit(command, answer::complete))) {
+            return RouteStoreResult.Unknown("too many requests are waiting")
+        }
         return when (val reply = await(answer)) {
-            null, SubmitReply.Unknown, is SubmitReply.Refused -> RouteStoreResult.Unknown
+            null -> RouteStoreResult.Unknown("no answer within $ANSWER_MILLIS ms")
+            SubmitReply.Unknown -> RouteStoreResult.Unknown("leadership was lost meanwhile")
+            is SubmitReply.Refused -> RouteStoreResult.Unknown(reply.reason)
             is SubmitReply.NotLeader -> RouteStoreResult.NotLeader(reply.leader)
             is SubmitReply.Committed -> toResult(reply.outcome)
         }
--- a/control/src/main/kotlin/marigoldward/control/routes/RouteStoreResult.kt
+++ b/control/src/main/kotlin/marigoldward/control/routes/RouteStoreResult.kt
@@ -20,6 +20,6 @@
     /** Nothing changed: only the instance that leads takes changes; that is [leader], if one is known. */
     public data class NotLeader(val leader: InstanceId?) : RouteStoreResult
 
-    /** It may or may not come into force. */
-    public data object Unknown : RouteStoreResult
+    /** It may or may not come into force, for [reason]. */
+    public data class Unknown(val reason: String) : RouteStoreResult
 }
--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -35,6 +35,7 @@
 
     private val planners = HashMap<PoolName, StagePlanner>()
     private val untouchableUntilMillis = HashMap<UpstreamId, Long>()
+    private val silent = HashSet<UpstreamId>()
     private var ledTerm = 0L
     private var ledSinceMillis = 0L
     private var staleTerm = 0L
@@ -63,13 +64,29 @@
     }
 
     private fun plan(service: PoolName, listed: List<ListedUpstream>) {
-        val gauges = listed.mapNotNull { engine -> (engines.gauge(engine) as? Outcome.Success)?.value }
+        val gauges = listed.mapNotNull(::gaugeOrNull)
         val planner = planners[service] ?: StagePlanner.INITIAL
         val step = planner.observe(gauges, listed.size, MonotonicClock.nowMillis())
         planners[service] = step.planner
         step.changes.forEach { order(it, step.planner) }
     }
 
+    private fun gaugeOrNull(engine: ListedUpstream): EngineGauge? = when (val gauge = engines.gauge(engine)) {
+        is Outcome.Success -> {
+            if (silent.remove(engine.id)) log.info("engine_regained") { field("engine", engine.id) }
+            gauge.value
+        }
+        is Outcome.Failure -> {
+            if (silent.add(engine.id)) {
+                log.warn("engine_lost") {
+                    field("engine", engine.id)
+                    field("reason", gauge.error)
+                }
+            }
+            null
+        }
+    }
+
     private fun order(change: StageChange, planner: StagePlanner) {
         val gauge = change.gauge
         val untilMillis = untouchableUntilMillis[gauge.engine.id] ?: 0
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -73,7 +73,7 @@
     /** Stores [document] at whichever instance takes it. */
     fun store(document: String): RouteStoreResult = await {
         running.values.map { it.routes.store(document.toByteArray()) }.firstOrNull {
-            it !is RouteStoreResult.NotLeader && it != RouteStoreResult.Unknown
+            it !is RouteStoreResult.NotLeader && it !is RouteStoreResult.Unknown
         }
     }
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -19,9 +19,6 @@
     private var nextNumber = 1L
     private var usualDelay = ReadDelay.NONE
 
-    /** How many upstreams are listed. */
-    public val listedUpstreams: Int get() = records.size
-
     /** Returns what is known of [id], or null if it is not listed. */
     public fun recordOrNull(id: UpstreamId): UpstreamRecord? = records[id]
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/ReadGate.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/ReadGate.kt
@@ -13,9 +13,6 @@
 
     private class Waiting<T : Any>(val item: T, val priority: Int, val sinceMillis: Long)
 
-    /** How many wait. */
-    public val held: Int get() = waiting.size
-
     /** Whether a prompt with [tokens] tokens to read is long enough to need the gate. */
     public fun needsGate(tokens: Int): Boolean = tokens >= LONG_TOKENS
 
