--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -1,6 +1,5 @@
 package marigoldward.control.cluster
 
-import marigoldward.control.directory.DirectoryDuty
 import marigoldward.control.feed.EntryFeed
 import marigoldward.control.peer.PeerLinks
 import marigoldward.control.peer.PeerService
@@ -18,13 +17,14 @@
 import marigoldward.core.replication.ReplicaMessage
 import marigoldward.core.replication.ReplicationTiming
 import marigoldward.core.routes.RouteDocumentReader
+import marigoldward.support.directory.DirectoryDuty
+import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.directory.DirectorySource
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 import marigoldward.support.time.TimerService
 import marigoldward.wire.peer.JoinReply
-import marigoldward.wire.rpc.ClusterIdentity
 import marigoldward.wire.rpc.RpcServer
 import java.net.InetSocketAddress
 
@@ -36,10 +36,10 @@
     directorySource: DirectorySource,
     engines: EngineControl,
 ) : AutoCloseable {
-    private val identity = ClusterIdentity(settings.clusterId, settings.key)
+    private val cluster = settings.cluster
     private val timer = TimerService.start()
     private val feed: EntryFeed = EntryFeed(settings.dataCentre) { replica.published }
-    private val links = PeerLinks(settings.ip, identity, settings::rpcAddressOrNull, feed::entriesToTell)
+    private val links = PeerLinks(settings.ip, cluster.identity, cluster::rpcAddressOrNull, feed::entriesToTell)
     private val replica: ReplicaDuty =
         ReplicaDuty(
             store,
@@ -56,7 +56,7 @@
     private val stages = StageDuty(settings.ip, engines, duty, settings.leaseMillis + SETTLE_MARGIN_MILLIS) { listed }
 
     @Volatile
-    private var seeds = settings.seedInstances
+    private var seeds = cluster.seedInstances
 
     /** The members as told by an instance that is one; used while this one is none. */
     @Volatile
@@ -68,8 +68,8 @@
     private val peers = PeerService(::isPeer, duty, { replica.published }, feed::entriesTold)
     private val server =
         RpcServer.start(
-            InetSocketAddress(settings.ip.text, settings.rpcPort),
-            identity,
+            InetSocketAddress(settings.ip.text, cluster.rpcPort),
+            cluster.identity,
             listOf(peers.service, feed.service),
         )
 
@@ -100,13 +100,13 @@
         directory.poll()
     }
 
-    private fun directoryRead(reading: DirectoryDuty.DirectoryReading) {
+    private fun directoryRead(reading: DirectoryReading) {
         listed = reading.upstreams
         feed.directoryRead(reading)
     }
 
     /** Any instance of the cluster may be a peer: identity is checked with each call. */
-    private fun isPeer(name: InstanceId): Boolean = settings.rpcAddressOrNull(name) != null
+    private fun isPeer(name: InstanceId): Boolean = cluster.rpcAddressOrNull(name) != null
 
     /** A replica that has heard of no leader for long may have been replaced meanwhile. */
     private fun announceIfOutside() {
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
@@ -27,7 +27,7 @@
     private fun openOrNull(settings: ClusterSettings): ReplicaStore? = try {
         initialiseIfFirst(settings)
         val newcomer = ReplicaId(settings.ip, SecureRandom().nextLong(FIRST_INCARNATION + 1, Long.MAX_VALUE))
-        when (val opened = ReplicaStore.open(settings.dataFolder, settings.clusterId, newcomer)) {
+        when (val opened = ReplicaStore.open(settings.dataFolder, settings.cluster.identity.clusterId, newcomer)) {
             is Outcome.Success -> opened.value
             is Outcome.Failure -> {
                 log.warn("data_folder_unusable") { field("problem", opened.error.toMessage()) }
@@ -43,9 +43,9 @@
     /** The seeds of the very first start are the first voters: all instances are given the same. */
     private fun initialiseIfFirst(settings: ClusterSettings) {
         val self = ReplicaId(settings.ip, FIRST_INCARNATION)
-        val voters = settings.seedInstances.map { ReplicaId(it, FIRST_INCARNATION) }.toSet()
+        val voters = settings.cluster.seedInstances.map { ReplicaId(it, FIRST_INCARNATION) }.toSet()
         if (!settings.isFirstStart || self !in voters || !isEmpty(settings)) return
-        ReplicaStore.initialise(settings.dataFolder, settings.clusterId, self, voters)
+        ReplicaStore.initialise(settings.dataFolder, settings.cluster.identity.clusterId, self, voters)
     }
 
     private fun isEmpty(settings: ClusterSettings): Boolean {
--- a/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
@@ -4,12 +4,12 @@
 import io.grpc.Status
 import io.grpc.stub.ServerCallStreamObserver
 import io.prometheus.metrics.core.metrics.Gauge
-import marigoldward.control.directory.DirectoryDuty.DirectoryReading
 import marigoldward.control.replica.PublishedStatus
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
 import marigoldward.core.routes.RouteDocument
+import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.DirectorySnapshot
--- a/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
@@ -1,8 +1,8 @@
 package marigoldward.control.replica
 
 import marigoldward.core.control.ControlOutcome
+import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.ReplicaRefusal
-import marigoldward.wire.control.EnginesReply
 import marigoldward.wire.control.LeaseReply
 import marigoldward.wire.control.SubmitReply
 
@@ -44,58 +44,26 @@
         override fun onWithdrawn(reason: String) = answer(LeaseReply.Unavailable(null))
     }
 
-    /** The renewal of a lease, which only needs to know that this replica leads. */
-    class Renewal(private val onLeading: () -> LeaseReply, private val answer: (LeaseReply) -> Unit) : PendingRequest {
-        override fun onCommitted(outcome: ControlOutcome) = error("a renewal is not in the log")
+    /**
+     * What only needs to know that this replica leads.
+     *
+     * @param ifLeading the answer once a quorum has confirmed it
+     * @param otherwise the answer if it does not lead, with the instance that may
+     */
+    class Confirmation<A>(
+        private val ifLeading: () -> A,
+        private val otherwise: (InstanceId?) -> A,
+        private val answer: (A) -> Unit,
+    ) : PendingRequest {
+        override fun onCommitted(outcome: ControlOutcome) = error("what is confirmed is not in the log")
 
-        override fun onRefused(refusal: ReplicaRefusal) = answer(LeaseReply.Unavailable(refusal.leaderOrNull()))
-
-        override fun onUnknown() = answer(LeaseReply.Unavailable(null))
-
-        override fun onWithdrawn(reason: String) = answer(LeaseReply.Unavailable(null))
-
-        override fun onConfirmed() = answer(onLeading())
-    }
-
-    /** A read of the engines' records. */
-    class EngineRead(private val onLeading: () -> EnginesReply, private val answer: (EnginesReply) -> Unit) :
-        PendingRequest {
-        override fun onCommitted(outcome: ControlOutcome) = error("a read is not in the log")
-
-        override fun onRefused(refusal: ReplicaRefusal) = answer(EnginesReply(null, refusal.leaderOrNull()))
-
-        override fun onUnknown() = answer(EnginesReply(null, null))
-
-        override fun onWithdrawn(reason: String) = answer(EnginesReply(null, null))
-
-        override fun onConfirmed() = answer(onLeading())
-    }
-
-    /** A read of the configuration of routes. */
-    class RoutesReading(private val onLeading: () -> RoutesRead, private val answer: (RoutesRead) -> Unit) :
-        PendingRequest {
-        override fun onCommitted(outcome: ControlOutcome) = error("a read is not in the log")
-
-        override fun onRefused(refusal: ReplicaRefusal) = answer(RoutesRead.NotLeader(refusal.leaderOrNull()))
-
-        override fun onUnknown() = answer(RoutesRead.NotLeader(null))
-
-        override fun onWithdrawn(reason: String) = answer(RoutesRead.NotLeader(null))
-
-        override fun onConfirmed() = answer(onLeading())
-    }
-
-    /** The question whether this replica leads; [term] is the one in which it did when it was asked. */
-    class Leading(private val term: Long, private val answer: (Long?) -> Unit) : PendingRequest {
-        override fun onCommitted(outcome: ControlOutcome) = error("a question is not in the log")
-
-        override fun onRefused(refusal: ReplicaRefusal) = answer(null)
+        override fun onRefused(refusal: ReplicaRefusal) = answer(otherwise(refusal.leaderOrNull()))
 
-        override fun onUnknown() = answer(null)
+        override fun onUnknown() = answer(otherwise(null))
 
-        override fun onWithdrawn(reason: String) = answer(null)
+        override fun onWithdrawn(reason: String) = answer(otherwise(null))
 
-        override fun onConfirmed() = answer(term)
+        override fun onConfirmed() = answer(ifLeading())
     }
 
     /** A change of members that this replica makes by itself. */
--- a/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/RequestHandling.kt
@@ -141,24 +141,26 @@
             leases = table ?: leases
             if (table == null) LeaseReply.Taken(event.request.holder, 0) else LeaseReply.Granted(token)
         }
-        val number = pending.add(PendingRequest.Renewal(renewed, event.answer))
-        return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
+        return confirm(PendingRequest.Confirmation(renewed, { LeaseReply.Unavailable(it) }, event.answer))
     }
 
     private fun readEngines(event: ReplicaDutyEvent.ReadEngines): List<RequestedStep> {
-        val read: () -> EnginesReply = { EnginesReply(control().engines, null) }
-        val number = pending.add(PendingRequest.EngineRead(read, event.answer))
-        return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
+        val read = { EnginesReply(control().engines, null) }
+        return confirm(PendingRequest.Confirmation(read, { EnginesReply(null, it) }, event.answer))
     }
 
     private fun readRoutes(event: ReplicaDutyEvent.ReadRoutes): List<RequestedStep> {
         val read: () -> RoutesRead = { RoutesRead.Current(control().routes) }
-        val number = pending.add(PendingRequest.RoutesReading(read, event.answer))
-        return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
+        return confirm(PendingRequest.Confirmation(read, { RoutesRead.NotLeader(it) }, event.answer))
     }
 
     private fun confirmLeading(event: ReplicaDutyEvent.ConfirmLeading, view: ReplicaView): List<RequestedStep> {
-        val number = pending.add(PendingRequest.Leading(view.replica.hardState.term, event.answer))
+        val term: Long? = view.replica.hardState.term
+        return confirm(PendingRequest.Confirmation({ term }, { null }, event.answer))
+    }
+
+    private fun confirm(request: PendingRequest): List<RequestedStep> {
+        val number = pending.add(request)
         return listOf(RequestedStep(ReplicaEvent.ConfirmLeadership(number), number))
     }
 
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -17,6 +17,8 @@
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.core.routes.RouteProblem
 import marigoldward.support.program.KeyFile
+import marigoldward.wire.rpc.ClusterAccess
+import marigoldward.wire.rpc.ClusterIdentity
 import java.io.File
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -49,13 +51,15 @@
                 ip = InstanceId.parse(ip(number)),
                 dataCentre = DataCentre.parse("dc-$number"),
                 operatorListen = InetSocketAddress(ip(number), 1),
-                rpcPort = port,
                 dataFolder = root.resolve("$number"),
-                seeds = seeds.map { InetSocketAddress(ip(it), 1) },
+                cluster =
+                ClusterAccess(
+                    seeds = seeds.map { InetSocketAddress(ip(it), 1) },
+                    rpcPort = port,
+                    identity = ClusterIdentity("test", KeyFile.fromSecret("a key of the tests")),
+                ),
                 isFirstStart = isFirstStart,
                 lostInstances = 1,
-                clusterId = "test",
-                key = KeyFile.fromSecret("a key of the tests"),
                 directory = InetSocketAddress("127.0.0.1", 1),
                 leaseMillis = 3_000,
             )
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
+import marigoldward.core.internal.Rendezvous
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
 import marigoldward.core.model.UpstreamId
@@ -56,9 +57,11 @@
         val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
         val direct = decoders.map { view.whole(it, it.tokensToRead(prompt, isHome = false, nowMillis)) }
         val home = homeOrNull(readers, prompt)
+        val generating = decoders.map(view::generating)
         val split = readers.flatMap { reader ->
             val tokens = reader.tokensToRead(prompt, reader.listed.id == home, nowMillis)
-            decoders.map { decoder -> view.split(reader, decoder, tokens) }
+            val reading = view.reading(reader, tokens)
+            generating.map { view.split(reading, it) }
         }
         val best = (direct + split).minBy { it.price + random.nextDouble() * NEAR_PRICE }
         val isTooLate = best.expectedMillis > request.leftMillis * HOPE_PART
@@ -74,9 +77,10 @@
     ): ListedUpstream? {
         val record = records[reader.id] ?: UpstreamRecord.fromListed(reader)
         val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
+        val reading = view.reading(record, Attempt.TAKE_OVER_TOKENS)
         return usable(request.service, tried, nowMillis)
             .filter { it.listed.stage != EngineStage.PREFILL }
-            .minByOrNull { view.split(record, it, 1).price }
+            .minByOrNull { view.split(reading, view.generating(it)).price }
             ?.listed
     }
 
@@ -184,7 +188,7 @@
     /** Entries agree without talking on the engine that keeps a prefix. */
     private fun homeOrNull(engines: List<UpstreamRecord>, prompt: Prompt): UpstreamId? {
         val key = prompt.sharedKey ?: return null
-        return engines.maxByOrNull { Homes.weight(key, it.listed.id) }?.listed?.id
+        return engines.maxByOrNull { Rendezvous.weight(key, Rendezvous.hash(it.listed.id.text)) }?.listed?.id
     }
 
     private companion object {
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -29,17 +29,29 @@
         return Priced(Placement.Whole(decoder.listed, tokens), price, expectedMillis)
     }
 
-    /** [reader] reads [tokens] tokens and [decoder] takes the KV cache over. */
-    fun split(reader: UpstreamRecord, decoder: UpstreamRecord, tokens: Int): Priced {
-        val isRemote = reader.listed.dataCentre != decoder.listed.dataCentre
-        val factor = if (isRemote) costs.remoteCacheFactor else 1.0
-        val expectedMillis =
-            reader.readWaitMillis(costs, usualWaitMillis, nowMillis) + costs.readMillis(tokens, prompt.promptTokens) +
-                costs.splitMillis + moveMillis * factor + decodeMillis(decoder)
-        val price =
-            lateness(expectedMillis) + cacheGigabytes * costs.cacheGigabytePrice * factor + readAgain(tokens) +
-                reliability(reader) + reliability(decoder) + way(reader) + way(decoder)
-        return Priced(Placement.Split(reader.listed, decoder.listed, tokens), price, expectedMillis)
+    /** An engine that would read or generate: what it adds to the time and the price, whatever its partner is. */
+    class Side(val record: UpstreamRecord, val tokens: Int, val millis: Double, val price: Double)
+
+    /** [reader] would read [tokens] tokens. */
+    fun reading(reader: UpstreamRecord, tokens: Int): Side {
+        val waitMillis = reader.readWaitMillis(costs, usualWaitMillis, nowMillis)
+        val readMillis = costs.readMillis(tokens, prompt.promptTokens)
+        return Side(reader, tokens, waitMillis + readMillis, readAgain(tokens) + reliability(reader) + way(reader))
+    }
+
+    /** [decoder] would take a KV cache over. */
+    fun generating(decoder: UpstreamRecord): Side =
+        Side(decoder, Attempt.TAKE_OVER_TOKENS, decodeMillis(decoder), reliability(decoder) + way(decoder))
+
+    /** The two share the request. */
+    fun split(reading: Side, generating: Side): Priced {
+        val reader = reading.record.listed
+        val decoder = generating.record.listed
+        val factor = if (reader.dataCentre == decoder.dataCentre) 1.0 else costs.remoteCacheFactor
+        val expectedMillis = reading.millis + costs.splitMillis + moveMillis * factor + generating.millis
+        val cachePrice = cacheGigabytes * costs.cacheGigabytePrice * factor
+        val price = lateness(expectedMillis) + cachePrice + reading.price + generating.price
+        return Priced(Placement.Split(reader, decoder, reading.tokens), price, expectedMillis)
     }
 
     private fun lateness(expectedMillis: Double): Double =
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Rendezvous.kt
+++ b/core/src/main/kotlin/marigoldward/core/internal/Rendezvous.kt
@@ -1,4 +1,4 @@
-package marigoldward.core.serving.internal
+package marigoldward.core.internal
 
 import com.dynatrace.hash4j.hashing.Hashing
 
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Candidates.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Candidates.kt
@@ -1,5 +1,6 @@
 package marigoldward.core.serving.internal
 
+import marigoldward.core.internal.Rendezvous
 import marigoldward.core.model.InstanceId
 import marigoldward.core.model.UpstreamId
 import marigoldward.core.serving.PendingWork
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Routing.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Routing.kt
@@ -1,6 +1,7 @@
 package marigoldward.core.serving.internal
 
 import marigoldward.core.config.UpstreamPool
+import marigoldward.core.internal.Rendezvous
 import marigoldward.core.model.EngineRole
 import marigoldward.core.model.UpstreamKind
 import marigoldward.core.serving.PendingWork
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -3,8 +3,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.util.concurrent.DefaultThreadFactory
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import io.prometheus.metrics.model.registry.PrometheusRegistry
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.Dispatcher
 import marigoldward.core.dispatch.PlacementCosts
@@ -21,12 +19,13 @@
 import marigoldward.gateway.session.ServingContext
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.bytes.Gzip
+import marigoldward.support.directory.DirectoryDuty
+import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.directory.DirectorySource
-import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
+import marigoldward.support.metrics.MetricsPage
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
-import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -51,7 +50,7 @@
     private val metrics = StatusServer(loop, ::metricsPage)
     private val book = DirectoryBook(random.nextLong(DirectoryBook.MAX_SPREAD_MILLIS))
     private val feed = ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::updated)
-    private val directory = Duty.start<Long>("directory", SMALL_RING) { readDirectory(directorySource) }
+    private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { directoryRead(reading) } }
     private val startedMillis = MonotonicClock.nowMillis()
     private var isEnding = false
 
@@ -98,7 +97,7 @@
     }
 
     private fun start() {
-        feed.changeSeeds(settings.seedInstances)
+        feed.changeSeeds(settings.cluster.seedInstances)
         readiness.start(settings.readyListen)
         metrics.start(InetSocketAddress(settings.ip, settings.metricsPort))
         callers.start(settings.callerListen)
@@ -170,28 +169,20 @@
         GatewayMetrics.directoryAge.set((book.ageMillisOrNull(nowMillis) ?: 0) / MILLIS_PER_SECOND)
         val isLost = nowMillis - startedMillis > DOUBT_MILLIS
         if (isLost) doubtful?.let { offered(it, isFresh = true) }
-        if (book.shouldRead(nowMillis)) directory.offer(nowMillis)
+        if (book.shouldRead(nowMillis)) directory.poll()
     }
 
-    private fun readDirectory(source: DirectorySource) {
-        val readMillis = MonotonicClock.nowMillis()
-        when (val result = source.read()) {
-            is Outcome.Success -> loop.execute {
-                if (book.take(result.value, readMillis)) dispatcher.list(result.value)
-                log.info("directory_read") { field("upstreams", result.value.size) }
-            }
-            is Outcome.Failure -> log.warn("directory_not_read") { field("reason", result.error) }
-        }
+    private fun directoryRead(reading: DirectoryReading) {
+        if (book.take(reading.upstreams, reading.readMillis)) dispatcher.list(reading.upstreams)
+        log.info("directory_read") { field("upstreams", reading.upstreams.size) }
     }
 
     private fun readinessPage(): StatusServer.Page =
         if (isReady) StatusServer.Page(OK, TEXT, "ready\n") else StatusServer.Page(UNAVAILABLE, TEXT, "not ready\n")
 
     private fun metricsPage(): StatusServer.Page {
-        val output = ByteArrayOutputStream()
-        val writer = PrometheusTextFormatWriter.create()
-        writer.write(output, PrometheusRegistry.defaultRegistry.scrape())
-        return StatusServer.Page(OK, writer.contentType, output.toString(Charsets.UTF_8))
+        val current = MetricsPage.current()
+        return StatusServer.Page(OK, current.contentType, current.text)
     }
 
     /** Starts entries. */
@@ -199,7 +190,6 @@
         private const val OK = 200
         private const val UNAVAILABLE = 503
         private const val TEXT = "text/plain"
-        private const val SMALL_RING = 4
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val FEED_MILLIS = 200L
         private const val DIRECTORY_MILLIS = 300L
@@ -229,7 +219,7 @@
             program.start()
             log.info("started") {
                 field("entry", settings.id)
-                field("seeds", settings.seedInstances.joinToString(","))
+                field("seeds", settings.cluster.seedInstances.joinToString(","))
             }
             return program
         }
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
@@ -2,11 +2,10 @@
 
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
-import marigoldward.support.program.KeyFile
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
 import marigoldward.support.settings.SectionReader
-import marigoldward.support.settings.parseAddressOrNull
+import marigoldward.wire.rpc.ClusterAccess
 import java.net.InetSocketAddress
 
 /**
@@ -14,8 +13,7 @@
  *
  * @property callerListen where callers reach it
  * @property readyListen where it says whether it takes callers
- * @property rpcPort the port of control instances for the system's own calls
- * @property seeds the operators' addresses of some control instances
+ * @property cluster how it reaches the control instances
  * @property directory where the list of upstreams is read if no control instance tells it
  * @property graceMillis the time from the request to end until the process is killed, in milliseconds
  * @property repeatRatio how many repeats all entries may send for each request
@@ -28,23 +26,14 @@
     val ip: String,
     val callerListen: InetSocketAddress,
     val readyListen: InetSocketAddress,
-    val rpcPort: Int,
     val metricsPort: Int,
-    val seeds: List<InetSocketAddress>,
-    val clusterId: String,
-    val key: KeyFile,
+    val cluster: ClusterAccess,
     val directory: InetSocketAddress,
     val graceMillis: Long,
     val repeatRatio: Double,
     val repeatSlack: Int,
     val repeatWindowMillis: Long,
 ) {
-    /** The instances that the seeds name. */
-    public val seedInstances: List<InstanceId> get() = seeds.mapNotNull { InstanceId.parseOrNull(it.hostString) }
-
-    /** Where the system's own calls reach the control instance [name], or null if the name is no IP number. */
-    public fun rpcAddressOrNull(name: InstanceId): InetSocketAddress? = parseAddressOrNull("$name:$rpcPort")
-
     /** Reads settings. */
     public companion object {
         private const val MAX_PORT = 65_535L
@@ -63,11 +52,8 @@
                     ip = section.text("ip"),
                     callerListen = section.address("caller_listen"),
                     readyListen = section.address("ready_listen"),
-                    rpcPort = section.whole("rpc_port", 1..MAX_PORT).toInt(),
                     metricsPort = section.whole("metrics_port", 1..MAX_PORT).toInt(),
-                    seeds = section.parsedList("seeds", "addresses as IP:PORT", ::parseAddressOrNull),
-                    clusterId = section.text("cluster_id"),
-                    key = KeyFile.fromSecret(section.text("cluster_key")),
+                    cluster = ClusterAccess.read(section),
                     directory = section.address("directory"),
                     graceMillis = millis(section, "grace_s"),
                     repeatRatio = number(section, "repeat_ratio", MAX_REPEATS),
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -8,7 +8,6 @@
 import marigoldward.wire.feed.FeedRpc
 import marigoldward.wire.feed.FeedUpdate
 import marigoldward.wire.feed.WatchRequest
-import marigoldward.wire.rpc.ClusterIdentity
 import marigoldward.wire.rpc.RpcClient
 
 /**
@@ -24,7 +23,6 @@
     private val routesVersion: () -> Long,
     private val onUpdate: (FeedUpdate, Boolean) -> Unit,
 ) : AutoCloseable {
-    private val identity = ClusterIdentity(settings.clusterId, settings.key)
     private val source = FeedSource(settings.dataCentre, Math.floorMod(settings.id.text.hashCode(), DRAWS))
     private var client: RpcClient? = null
     private var number = 0L
@@ -49,9 +47,9 @@
     }
 
     private fun open(instance: InstanceId) {
-        val address = settings.rpcAddressOrNull(instance) ?: return
+        val address = settings.cluster.rpcAddressOrNull(instance) ?: return
         client?.close()
-        val opened = RpcClient.to(address, identity)
+        val opened = RpcClient.to(address, settings.cluster.identity)
         client = opened
         number++
         log.info("control_followed") { field("control", instance) }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -6,7 +6,6 @@
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.upstream.UpstreamFailure
-import java.io.ByteArrayOutputStream
 
 /** A request to a plain service: its answer is passed on once it is whole. */
 internal class PlainSession(context: ServingContext, request: SessionRequest) : Session(context, request) {
@@ -85,36 +84,22 @@
         if (known == null) endAfterFailure(reason) else answer(known.head, known.body)
     }
 
-    private inner class Answers(private val sent: () -> UpstreamTry) : UpstreamTry.Listener {
-        private lateinit var head: AnswerHead
-        private lateinit var facts: Dialect.AnswerFacts
-        private val body = ByteArrayOutputStream()
-
-        override fun onHead(head: AnswerHead, facts: Dialect.AnswerFacts) {
-            this.head = head
-            this.facts = facts
-        }
-
-        override fun onData(data: ByteArray) = body.writeBytes(data)
-
+    private inner class Answers(private val sent: () -> UpstreamTry) : WholeAnswer() {
         override fun onEnd() {
             when (val verdict = AnswerVerdict.of(head, facts)) {
                 AnswerVerdict.Good -> {
                     sent().over(AttemptEnd.ANSWERED, "")
-                    if (!isOver && current === sent()) answer(head, body.toByteArray())
+                    if (!isOver && current === sent()) answer(head, body)
                 }
                 AnswerVerdict.Failed -> {
-                    failure = Answer(head, body.toByteArray())
+                    failure = Answer(head, body)
                     failed(sent(), AttemptEnd.FAILED, "status ${head.status}")
                 }
                 is AnswerVerdict.Unusable -> failed(sent(), verdict.end, verdict.reason)
             }
         }
 
-        override fun onFailure(failure: UpstreamFailure) = when (failure) {
-            is UpstreamFailure.Unreachable -> failed(sent(), AttemptEnd.UNREACHABLE, failure.reason)
-            is UpstreamFailure.Broken -> failed(sent(), AttemptEnd.BROKEN, failure.reason)
-        }
+        override fun onFailure(failure: UpstreamFailure) = failed(sent(), failure.end, failure.reason)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -10,7 +10,6 @@
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.upstream.UpstreamFailure
-import java.io.ByteArrayOutputStream
 
 /**
  * A request whose answer is a stream of events: each whole event is passed on as it comes.
@@ -187,31 +186,17 @@
     }
 
     private inner class PrefillAnswers(private val placement: Placement.Split, private val sent: () -> UpstreamTry) :
-        UpstreamTry.Listener {
-        private lateinit var head: AnswerHead
-        private lateinit var facts: Dialect.AnswerFacts
-        private val body = ByteArrayOutputStream()
-
-        override fun onHead(head: AnswerHead, facts: Dialect.AnswerFacts) {
-            this.head = head
-            this.facts = facts
-        }
-
-        override fun onData(data: ByteArray) = body.writeBytes(data)
-
+        WholeAnswer() {
         override fun onEnd() {
             if (facts.isMisdirected) return prefillFailed(sent(), AttemptEnd.MISDIRECTED, "misdirected")
             if (head.status != OK) return prefillFailed(sent(), AttemptEnd.NOT_RUN, "status ${head.status}")
-            when (val handle = context.dialect.readHandle(body.toByteArray())) {
+            when (val handle = context.dialect.readHandle(body)) {
                 is Outcome.Success -> cacheRead(handle.value)
                 is Outcome.Failure -> prefillFailed(sent(), AttemptEnd.BROKEN, handle.error)
             }
         }
 
-        override fun onFailure(failure: UpstreamFailure) = when (failure) {
-            is UpstreamFailure.Unreachable -> prefillFailed(sent(), AttemptEnd.UNREACHABLE, failure.reason)
-            is UpstreamFailure.Broken -> prefillFailed(sent(), AttemptEnd.BROKEN, failure.reason)
-        }
+        override fun onFailure(failure: UpstreamFailure) = prefillFailed(sent(), failure.end, failure.reason)
 
         private fun cacheRead(handle: String) {
             sent().promptRead()
@@ -229,25 +214,21 @@
         }
     }
 
-    private inner class StreamAnswers(private val sent: () -> UpstreamTry) : UpstreamTry.Listener {
-        private lateinit var head: AnswerHead
-        private lateinit var facts: Dialect.AnswerFacts
+    private inner class StreamAnswers(private val sent: () -> UpstreamTry) : WholeAnswer() {
         private val splitter = EventSplitter()
-        private val body = ByteArrayOutputStream()
         private var isStream = false
 
         private val isCurrent: Boolean get() = !isOver && current === sent()
 
         override fun onHead(head: AnswerHead, facts: Dialect.AnswerFacts) {
-            this.head = head
-            this.facts = facts
+            super.onHead(head, facts)
             isStream = head.status == OK && AnswerVerdict.of(head, facts) == AnswerVerdict.Good
             if (isStream) heldCache = null
         }
 
         override fun onData(data: ByteArray) {
             if (!isCurrent) return
-            if (isStream) splitter.feed(data).forEach(::pass) else body.writeBytes(data)
+            if (isStream) splitter.feed(data).forEach(::pass) else super.onData(data)
         }
 
         override fun onEnd() {
@@ -259,10 +240,7 @@
             }
         }
 
-        override fun onFailure(failure: UpstreamFailure) = when (failure) {
-            is UpstreamFailure.Unreachable -> failed(sent(), AttemptEnd.UNREACHABLE, failure.reason)
-            is UpstreamFailure.Broken -> failed(sent(), AttemptEnd.BROKEN, failure.reason)
-        }
+        override fun onFailure(failure: UpstreamFailure) = failed(sent(), failure.end, failure.reason)
 
         /** An event that the caller has got from an earlier engine is left out. */
         private fun pass(event: EventSplitter.Event) {
@@ -306,7 +284,7 @@
             sent().over(AttemptEnd.FAILED, "status ${head.status}")
             releaseCache()
             note(sent().upstream.id, AttemptEnd.FAILED)
-            if (mayRepeat(AttemptEnd.FAILED)) attempt() else answer(head, body.toByteArray())
+            if (mayRepeat(AttemptEnd.FAILED)) attempt() else answer(head, body)
         }
     }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 
 /** An upstream that answers each request as [script] says: it writes bytes and may close the connection. */
@@ -82,3 +83,12 @@
         return text.toString()
     }
 }
+
+/** A script, for several upstreams together, that does [first] with the first request and [later] with the others. */
+internal fun firstThen(
+    first: (FakeUpstream.Call) -> Unit,
+    later: (FakeUpstream.Call) -> Unit,
+): (FakeUpstream.Call) -> Unit {
+    val isFirst = AtomicBoolean(true)
+    return { call -> if (isFirst.getAndSet(false)) first(call) else later(call) }
+}
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
@@ -10,6 +10,7 @@
 import marigoldward.gateway.FakeUpstream
 import marigoldward.gateway.RawCaller
 import marigoldward.gateway.TestGateway
+import marigoldward.gateway.firstThen
 
 private const val UNUSED_ADDRESS = "127.0.0.1:1"
 
@@ -171,15 +172,10 @@
 
         describe("a request that may be repeated") {
             it("is answered by another upstream if the first breaks off") {
-                var first = true
-                val script: (FakeUpstream.Call) -> Unit = { call ->
-                    if (first) {
-                        first = false
-                        call.reset()
-                    } else {
-                        call.answer("second")
-                    }
-                }
+                val script = firstThen(
+                    { call -> call.reset() },
+                    { call -> call.answer("second") },
+                )
                 withUpstreams(script, script) { caller, _ -> caller.ask(get("/i/x")).body shouldBe "second" }
             }
             it("gets the upstream's own failure if the other fails as well") {
@@ -192,10 +188,7 @@
                 }
             }
             it("is sent elsewhere when its answer is long overdue") {
-                var first = true
-                val script: (FakeUpstream.Call) -> Unit = { call ->
-                    if (first) first = false else call.answer("second")
-                }
+                val script = firstThen({ }, { it.answer("second") })
                 withUpstreams(script, script) { caller, _ -> caller.ask(get("/i/x")).body shouldBe "second" }
             }
         }
@@ -209,15 +202,10 @@
                 }
             }
             it("goes elsewhere if an upstream said that it did not run it") {
-                var first = true
-                val script: (FakeUpstream.Call) -> Unit = { call ->
-                    if (first) {
-                        first = false
-                        call.answer("", "503 Service Unavailable", "X-Not-Run: 1\r\n")
-                    } else {
-                        call.answer("done")
-                    }
-                }
+                val script = firstThen(
+                    { call -> call.answer("", "503 Service Unavailable", "X-Not-Run: 1\r\n") },
+                    { call -> call.answer("done") },
+                )
                 withUpstreams(script, script) { caller, _ -> caller.ask(post("/n/x", "b")).body shouldBe "done" }
             }
             it("is refused as not run, with a time to come again, if no upstream is reached") {
--- a/control/src/main/kotlin/marigoldward/control/directory/DirectoryDuty.kt
+++ b/support/src/main/kotlin/marigoldward/support/directory/DirectoryDuty.kt
@@ -1,31 +1,25 @@
-package marigoldward.control.directory
+package marigoldward.support.directory
 
 import marigoldward.core.Outcome
-import marigoldward.core.dispatch.ListedUpstream
-import marigoldward.support.directory.DirectorySource
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 
 /** Reads the directory of upstreams on one thread and hands every list to [onRead]. */
-internal class DirectoryDuty(private val source: DirectorySource, private val onRead: (DirectoryReading) -> Unit) :
+public class DirectoryDuty(private val source: DirectorySource, private val onRead: (DirectoryReading) -> Unit) :
     AutoCloseable {
-    /** A list and when it was read, in milliseconds of monotonic time. */
-    data class DirectoryReading(val upstreams: List<ListedUpstream>, val readMillis: Long)
-
     private data object Read
 
     private var isFailing = false
     private val duty: Duty<Read> = Duty.start("directory", RING_EVENTS) { read() }
 
     /** Asks for one reading. */
-    fun poll() {
+    public fun poll() {
         duty.offer(Read)
     }
 
-    override fun close() = duty.close()
+    override fun close(): Unit = duty.close()
 
-    /** A list is as old as the call that brought it. */
     private fun read() {
         val startMillis = MonotonicClock.nowMillis()
         when (val result = source.read()) {
--- /dev/null
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/ClusterAccess.kt
@@ -0,0 +1,34 @@
+package marigoldward.wire.rpc
+
+import marigoldward.core.model.InstanceId
+import marigoldward.support.program.KeyFile
+import marigoldward.support.settings.SectionReader
+import marigoldward.support.settings.parseAddressOrNull
+import java.net.InetSocketAddress
+
+/**
+ * How a process reaches the control instances of its cluster, whose names are their IP numbers.
+ *
+ * @property seeds the operators' addresses of some control instances
+ * @property rpcPort the port for the system's own calls, the same on all control instances
+ */
+public data class ClusterAccess(val seeds: List<InetSocketAddress>, val rpcPort: Int, val identity: ClusterIdentity) {
+    /** The instances that the seeds name. */
+    public val seedInstances: List<InstanceId> get() = seeds.mapNotNull { InstanceId.parseOrNull(it.hostString) }
+
+    /** Where the system's own calls reach the instance [name], or null if the name is no IP number. */
+    public fun rpcAddressOrNull(name: InstanceId): InetSocketAddress? = parseAddressOrNull("$name:$rpcPort")
+
+    /** Reads settings. */
+    public companion object {
+        private const val MAX_PORT = 65_535L
+
+        /** Reads the keys `seeds`, `rpc_port`, `cluster_id` and `cluster_key` of [section]. */
+        public fun read(section: SectionReader): ClusterAccess = ClusterAccess(
+            seeds = section.parsedList("seeds", "addresses as IP:PORT", ::parseAddressOrNull),
+            rpcPort = section.whole("rpc_port", 1..MAX_PORT).toInt(),
+            identity =
+            ClusterIdentity(section.text("cluster_id"), KeyFile.fromSecret(section.text("cluster_key"))),
+        )
+    }
+}
