A suspect that waits for an engine holds up nobody else

A neighbour that became a suspect then stood at the head of its class without an engine, and all that came after it at that entry expired. The engines were back after 2 s, but each missed report had doubled their ejection, up to 16 s. Ruled out: a dead poller or a blocked thread (the entry went on refusing); load (seen with the engines idle). Change: work that is no suspect is sent past a suspect that finds no engine; an engine that reports under a new incarnation starts with a clean record. Two tests in ServingTest failed before.

--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Dispatching.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Dispatching.kt
@@ -43,8 +43,8 @@
         val queues = state.pools.getValue(pool).queues
         if (queues.values.all { it.size == 0 }) return null
         return order(state, pool).firstNotNullOfOrNull { turn ->
-            val work = queues[turn.priority.name]?.let { Queues.headOrNull(it, nowMillis) }
-            work?.let { send(state, it, turn.isPrivileged, nowMillis) }
+            val heads = queues[turn.priority.name]?.let { Queues.heads(it, nowMillis) }.orEmpty()
+            heads.firstNotNullOfOrNull { send(state, it, turn.isPrivileged, nowMillis) }
         }
     }
 
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Queues.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Queues.kt
@@ -37,9 +37,23 @@
         return withQueue(state, work.spec.pool, work.spec.priority, shortened).countCaller(work.spec.caller, -1)
     }
 
-    /** Returns the work that is due first, or null if none may be sent at [nowMillis]. */
-    fun headOrNull(queue: ClassQueue, nowMillis: Long): PendingWork? =
-        queue.repeated.values.firstOrNull { it.notBeforeMillis <= nowMillis } ?: queue.fresh.values.firstOrNull()
+    /**
+     * Returns the work that may be sent next at [nowMillis], in the order in which to try it.
+     *
+     * A suspect may wait long for an engine that takes it, so the first work that is none follows it.
+     */
+    fun heads(queue: ClassQueue, nowMillis: Long): List<PendingWork> {
+        val due = queue.repeated.values.filter { it.notBeforeMillis <= nowMillis }
+        val first = due.firstOrNull() ?: queue.fresh.values.firstOrNull()
+        val next = if (first?.isSuspect ==
+            true
+        ) {
+            due.firstOrNull { !it.isSuspect } ?: queue.fresh.values.firstOrNull()
+        } else {
+            null
+        }
+        return listOfNotNull(first, next)
+    }
 
     fun queueOf(state: ServingState, pool: PoolName, priority: PriorityClass): ClassQueue =
         state.pools[pool]?.queues?.get(priority.name) ?: ClassQueue.EMPTY
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/UpstreamUpdates.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/UpstreamUpdates.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.serving.ServingEvent
 import marigoldward.core.serving.ServingState
 import marigoldward.core.serving.ServingStep
+import marigoldward.core.serving.UpstreamHealth
 import marigoldward.core.serving.UpstreamInfo
 import marigoldward.core.serving.UpstreamState
 import marigoldward.core.serving.unchanged
@@ -18,7 +19,7 @@
     fun reported(state: ServingState, event: ServingEvent.Reported, nowMillis: Long): ServingStep = state
         .updateUpstream(event.upstream) { upstream ->
             val isRestarted = upstream.report != null && upstream.report.incarnation != event.report.incarnation
-            val known = if (isRestarted) upstream.copy(cachedPieces = upstream.cachedPieces.clear()) else upstream
+            val known = if (isRestarted) restarted(upstream) else upstream
             known.copy(
                 report = event.report,
                 reportMillis = nowMillis,
@@ -58,6 +59,10 @@
         return surplus.fold(extended) { known, piece -> known.remove(piece) }
     }
 
+    /** A new incarnation has an empty cache, and the failures of the one before say nothing about it. */
+    private fun restarted(upstream: UpstreamState): UpstreamState =
+        upstream.copy(cachedPieces = upstream.cachedPieces.clear(), health = UpstreamHealth.UNKNOWN)
+
     private fun asLeaving(upstream: UpstreamState): UpstreamState =
         upstream.copy(info = upstream.info.copy(isLeaving = true))
 }
--- a/core/src/test/kotlin/marigoldward/core/serving/ServingFixture.kt
+++ b/core/src/test/kotlin/marigoldward/core/serving/ServingFixture.kt
@@ -68,13 +68,18 @@
         ),
     )
 
-    fun report(engine: UpstreamId, streams: Int = 0, prefillTokens: Long = 0, role: EngineRole = EngineRole.MIXED) =
-        handle(
-            ServingEvent.Reported(
-                engine,
-                LoadReport(role, streams, prefillTokens, 0, isAccepting = true, incarnation = "1"),
-            ),
-        )
+    fun report(
+        engine: UpstreamId,
+        streams: Int = 0,
+        prefillTokens: Long = 0,
+        role: EngineRole = EngineRole.MIXED,
+        incarnation: String = "1",
+    ): List<ServingAction> = handle(
+        ServingEvent.Reported(
+            engine,
+            LoadReport(role, streams, prefillTokens, 0, isAccepting = true, incarnation = incarnation),
+        ),
+    )
 
     fun spec(
         priority: PriorityClass = urgent,
--- a/core/src/test/kotlin/marigoldward/core/serving/ServingTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/serving/ServingTest.kt
@@ -177,6 +177,22 @@
                 repeated.map { it.route.answering }.toSet() shouldHaveSize 3
             }
         }
+        describe("engines that crashed") {
+            it("leave a suspect without an engine of its own, which holds up nobody else of its class") {
+                val fixture = ServingFixture(engines = 3, slots = 4, entries = 3)
+                repeat(3) { fixture.handle(ServingEvent.ReportMissed(fixture.names[0])) }
+                val first = fixture.arrive(fixture.spec()).dispatches().single()
+                fixture.finish(first, AttemptResult.Broken(0, isCrash = true))
+                fixture.pass(100)
+                fixture.arrive(fixture.spec()).dispatches() shouldHaveSize 1
+            }
+            it("are used again as soon as they answer under a new incarnation") {
+                val fixture = ServingFixture(engines = 1)
+                repeat(8) { fixture.handle(ServingEvent.ReportMissed(fixture.names[0])) }
+                fixture.arrive(fixture.spec()).dispatches().shouldBeEmpty()
+                fixture.report(fixture.names[0], incarnation = "2").dispatches() shouldHaveSize 1
+            }
+        }
         describe("split roles") {
             it("leave no work waiting where an engine only reads and all others do both") {
                 val fixture = ServingFixture(engines = 3, slots = 10)
