Caches are believed only as long as they last; pauses of streams have a price

Engines that generate take 340,000 tokens of KV cache a second over together, so they drop what was not used for 4 to 6 s, but entries took a shared part to be kept for 20 s. Prompts that were expected to need one step there needed 14, and each such prompt made all streams of its engine late. Change: an entry counts the new tokens that it sends to the engines of each stage and takes the other entries to send as many; what has not been used since as many as fit is taken to be dropped. What a prompt costs the streams of an engine follows from the pause that it makes, with the steps that other entries send counted in. The log line of an ended request has its longest pause, and there is a histogram of it. Tests: three patterns in DispatcherTest.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -19,6 +19,11 @@
     private var records: PersistentMap<UpstreamId, UpstreamRecord> = persistentMapOf()
     private var nextNumber = 1L
     private var usualDelay = ReadDelay.NONE
+    private var directReads = DirectReads.NONE
+    private val turnover = CacheTurnover()
+
+    /** How many entries send to the same upstreams, this one included. */
+    public var entries: Int = UNKNOWN_ENTRIES
 
     /** Returns what is known of [id], or null if it is not listed. */
     public fun recordOrNull(id: UpstreamId): UpstreamRecord? = records[id]
@@ -54,12 +59,14 @@
         val decoders = usable.filter { it.listed.stage != EngineStage.PREFILL }
         if (decoders.isEmpty()) return Placement.None(reason(request.service))
         val readers = usable.filter { it.listed.stage == EngineStage.PREFILL }
-        val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
-        val direct = decoders.map { view.whole(it, it.tokensToRead(prompt, isHome = false, nowMillis)) }
+        size(decoders, request)
+        size(readers, request)
+        val view = view(request, decoders.size, nowMillis)
+        val direct = decoders.map { view.whole(it, tokensToRead(it, prompt, isHome = false, nowMillis)) }
         val home = homeOrNull(readers, prompt)
         val generating = decoders.map(view::generating)
         val split = readers.flatMap { reader ->
-            val tokens = reader.tokensToRead(prompt, reader.listed.id == home, nowMillis)
+            val tokens = tokensToRead(reader, prompt, reader.listed.id == home, nowMillis)
             val reading = view.reading(reader, tokens)
             generating.map { view.split(reading, it) }
         }
@@ -76,10 +83,10 @@
         nowMillis: Long,
     ): ListedUpstream? {
         val record = records[reader.id] ?: UpstreamRecord.fromListed(reader)
-        val view = GenerationView(request, dataCentre, costs, usualDelay.leftMillis(nowMillis), nowMillis)
+        val decoders = usable(request.service, tried, nowMillis).filter { it.listed.stage != EngineStage.PREFILL }
+        val view = view(request, decoders.size, nowMillis)
         val reading = view.reading(record, Attempt.TAKE_OVER_TOKENS)
-        return usable(request.service, tried, nowMillis)
-            .filter { it.listed.stage != EngineStage.PREFILL }
+        return decoders
             .minByOrNull { view.split(reading, view.generating(it)).price }
             ?.listed
     }
@@ -89,11 +96,21 @@
         val attempt = Attempt(nextNumber++, upstream, tokensToRead, isReading = tokensToRead > 0, nowMillis)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
-            if (prompt == null) counted else counted.withPrefixes(prompt, nowMillis)
+            if (prompt == null) counted else withPrompt(counted, prompt, attempt)
         }
         return attempt
     }
 
+    private fun withPrompt(record: UpstreamRecord, prompt: Prompt, attempt: Attempt): UpstreamRecord {
+        val nowMillis = attempt.startedMillis
+        val newTokens = tokensToRead(record, prompt, isHome = false, nowMillis)
+        turnover.took(record.listed, newTokens)
+        if (record.listed.stage == EngineStage.DECODE && !attempt.isTakeOver) {
+            directReads = directReads.plus(GenerationView.steps(attempt.tokensToRead), nowMillis)
+        }
+        return record.withPrefixes(prompt, turnover.spanOf(record.listed), nowMillis)
+    }
+
     /** Notes at [nowMillis] that the prompt of [attempt] has been read. */
     public fun promptRead(attempt: Attempt, nowMillis: Long) {
         update(attempt.upstream) { record ->
@@ -132,6 +149,26 @@
         }
     }
 
+    private fun view(request: GenerationRequest, decoders: Int, nowMillis: Long): GenerationView {
+        val othersSteps = directReads.perMilli(nowMillis) * (entries - 1) / maxOf(1, decoders)
+        return GenerationView(
+            request,
+            dataCentre,
+            costs,
+            usualDelay.leftMillis(nowMillis),
+            othersSteps,
+            nowMillis,
+        )
+    }
+
+    private fun size(engines: List<UpstreamRecord>, request: GenerationRequest) {
+        val first = engines.firstOrNull() ?: return
+        turnover.sized(first.listed, request.engine.kvCapacityTokens, engines.size, entries)
+    }
+
+    private fun tokensToRead(record: UpstreamRecord, prompt: Prompt, isHome: Boolean, nowMillis: Long): Int =
+        record.tokensToRead(prompt, isHome, turnover.spanOf(record.listed), nowMillis)
+
     private fun update(id: UpstreamId, change: (UpstreamRecord) -> UpstreamRecord) {
         val record = records[id] ?: return
         records = records.put(id, change(record))
@@ -192,6 +229,9 @@
     }
 
     private companion object {
+        /** The number of entries until a control instance has told it; on the large side, so that little is spent. */
+        const val UNKNOWN_ENTRIES = 32
+
         /** Costs that differ by less are equal, so that entries don't all choose the same, in milliseconds. */
         const val NEAR_MILLIS = 2.0
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -8,6 +8,7 @@
     private val dataCentre: DataCentre,
     private val costs: PlacementCosts,
     private val usualWaitMillis: Double,
+    private val othersStepsPerMilli: Double,
     private val nowMillis: Long,
 ) {
     private val prompt = request.prompt
@@ -63,23 +64,19 @@
         moveMillis * (decoder.ownTakeOvers + decoder.othersWaiting(nowMillis)) +
         decoder.readWaitMillis(costs, 0.0, nowMillis)
 
-    /** One slow step is within every stream's allowed pause; each further one may make some of them late. */
+    /**
+     * An engine that generates takes one step of a prompt between two tokens of all its streams, so the prompts that it
+     * reads while an event is made add up to one pause of each stream.
+     */
     private fun disturbance(decoder: UpstreamRecord, tokens: Int): Double {
-        val waiting = decoder.attempts.values.sumOf {
-            if (it.isReading &&
-                !it.isTakeOver
-            ) {
-                steps(it.tokensToRead)
-            } else {
-                0
-            }
-        }
+        val own = decoder.attempts.values.sumOf { if (it.isReading && !it.isTakeOver) steps(it.tokensToRead) else 0 }
+        val eventMillis = request.engine.tokensPerEvent * costs.stepMillis
+        val steps = minOf(request.engine.tokensPerEvent, own + steps(tokens)) + othersStepsPerMilli * eventMillis
+        val pauseMillis = eventMillis + steps * costs.ownReadFactor * costs.readMillis(TOKENS_PER_STEP)
         val streams = maxOf(decoder.requests(nowMillis), USUAL_STREAMS)
-        return costs.disturbPrice * (1 + streams * (waiting + steps(tokens) - 1))
+        return costs.disturbPrice + streams * costs.pausePrice(pauseMillis, request.gapMillis)
     }
 
-    private fun steps(tokens: Int): Int = (tokens + TOKENS_PER_STEP - 1) / TOKENS_PER_STEP
-
     /** The shared tokens that are read although some engine probably keeps them. */
     private fun readAgain(tokens: Int): Double {
         val ownTokens = prompt.promptTokens - prompt.sharedTokens
@@ -97,16 +94,19 @@
         costs.remoteMegabytePrice * request.bodyBytes / BYTES_PER_MEGABYTE
     }
 
-    private companion object {
-        const val TOKENS_PER_UNIT = 1_000.0
-        const val BYTES_PER_GIGABYTE = 1e9
-        const val BYTES_PER_MEGABYTE = 1e6
-        const val BYTES_PER_MEGABIT_MILLI = 125.0
+    companion object {
+        /** Returns in how many steps an engine that generates reads [tokens] tokens. */
+        fun steps(tokens: Int): Int = (tokens + TOKENS_PER_STEP - 1) / TOKENS_PER_STEP
+
+        private const val TOKENS_PER_UNIT = 1_000.0
+        private const val BYTES_PER_GIGABYTE = 1e9
+        private const val BYTES_PER_MEGABYTE = 1e6
+        private const val BYTES_PER_MEGABIT_MILLI = 125.0
 
         /** The prompt tokens that an engine which generates reads in one step. */
-        const val TOKENS_PER_STEP = 1_024
+        private const val TOKENS_PER_STEP = 1_024
 
         /** The streams that an engine which generates is taken to have at least: other entries send there too. */
-        const val USUAL_STREAMS = 4
+        private const val USUAL_STREAMS = 4
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
@@ -11,7 +11,8 @@
  * @property streamMillis how much each stream on an engine delays another, in milliseconds
  * @property latePrice what is lost if an answer is late
  * @property failPrice what is lost besides if it comes too late for the caller
- * @property disturbPrice what is lost with each stream of an engine that takes another step to read a prompt
+ * @property stepMillis the time of a step of an engine that generates and reads nothing, in milliseconds
+ * @property disturbPrice what reading a prompt on an engine that generates costs in any case
  * @property remoteMegabytePrice a megabyte of a request sent to another data centre
  * @property cacheGigabytePrice a gigabyte of KV cache moved within a data centre
  * @property remoteCacheFactor how many times more it costs, and longer it takes, to another data centre
@@ -31,6 +32,7 @@
     val streamMillis: Double,
     val latePrice: Double,
     val failPrice: Double,
+    val stepMillis: Double,
     val disturbPrice: Double,
     val remoteMegabytePrice: Double,
     val cacheGigabytePrice: Double,
@@ -51,13 +53,18 @@
      * of no use after [leftMillis].
      */
     public fun latenessPrice(expectedMillis: Double, targetMillis: Long, leftMillis: Long): Double =
-        latePrice * missedPart(expectedMillis, targetMillis) + failPrice * missedPart(expectedMillis, leftMillis) +
+        latePrice * missedPart(expectedMillis, targetMillis, STEEPNESS) +
+            failPrice * missedPart(expectedMillis, leftMillis, STEEPNESS) +
             expectedMillis * latePrice / IDLE_MILLIS
 
-    /** The part of answers expected after [expectedMillis] that come after [limitMillis]. */
-    private fun missedPart(expectedMillis: Double, limitMillis: Long): Double {
+    /** What is lost on average with a stream that pauses for [pauseMillis] and may pause for [gapMillis]. */
+    public fun pausePrice(pauseMillis: Double, gapMillis: Long): Double =
+        latePrice * missedPart(pauseMillis, gapMillis, PAUSE_STEEPNESS)
+
+    /** The part of what is expected after [expectedMillis] that comes after [limitMillis]. */
+    private fun missedPart(expectedMillis: Double, limitMillis: Long, steepness: Double): Double {
         val overrun = expectedMillis / maxOf(1, limitMillis) - TURNING_POINT
-        return 1 / (1 + Math.exp(-overrun * STEEPNESS))
+        return 1 / (1 + Math.exp(-overrun * steepness))
     }
 
     /** Creates costs. */
@@ -70,6 +77,9 @@
         /** At half the turning point one in thirty is late. */
         private const val STEEPNESS = 8.0
 
+        /** Pauses are known better than waits: they follow from what the engine has to read. */
+        private const val PAUSE_STEEPNESS = 20.0
+
         /** Among answers that are surely on time, or surely late, the sooner is better, but little. */
         private const val IDLE_MILLIS = 20_000.0
 
@@ -84,7 +94,8 @@
                 streamMillis = 0.5,
                 latePrice = 0.6,
                 failPrice = 0.5,
-                disturbPrice = 0.04,
+                stepMillis = 5.0,
+                disturbPrice = 0.02,
                 remoteMegabytePrice = 8.0,
                 cacheGigabytePrice = 0.022,
                 remoteCacheFactor = 2.0,
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -11,7 +11,7 @@
  * @property reportMillis when [report] came, in milliseconds of monotonic time
  * @property ownAtReport how many of the entry's own attempts were there when [report] came
  * @property readDelay how long the last prompt that was read waited there
- * @property prefixes when the entry last sent each prefix there, by key; the oldest first
+ * @property prefixes the entry's last use of each prefix there, by key; the oldest first
  */
 public data class UpstreamRecord(
     val listed: ListedUpstream,
@@ -21,7 +21,7 @@
     val reportMillis: Long,
     val ownAtReport: Int,
     val readDelay: ReadDelay,
-    val prefixes: PersistentMap<Long, Long>,
+    val prefixes: PersistentMap<Long, PrefixUse>,
 ) {
     /** The prompt tokens that the entry's own attempts still have to read there. */
     val ownReadingTokens: Int get() = attempts.values.sumOf { if (it.isReading) it.tokensToRead else 0 }
@@ -59,24 +59,23 @@
         return maxOf(0, known.running + known.waiting - ownAtReport)
     }
 
-    /** Returns the tokens of [prompt] that the upstream has to read as far as the entry knows. */
-    public fun tokensToRead(prompt: Prompt, isHome: Boolean, nowMillis: Long): Int {
-        val known = prompt.prefixKeys.indexOfLast { key -> isCached(key, nowMillis) }
+    /** Returns the tokens of [prompt] that the upstream, which keeps its cache for [span], has to read. */
+    public fun tokensToRead(prompt: Prompt, isHome: Boolean, span: CacheSpan, nowMillis: Long): Int {
+        val known = prompt.prefixKeys.indexOfLast { key -> isCached(key, span, nowMillis) }
         val cachedParts = if (isHome) maxOf(known, prompt.parts.size - 2) else known
         val cachedTokens = prompt.parts.take(cachedParts + 1).sumOf { it.tokens }
         return maxOf(1, prompt.promptTokens - cachedTokens)
     }
 
-    /** Whether the prefix [key] was sent there lately. */
-    public fun isCached(key: Long, nowMillis: Long): Boolean {
-        val usedMillis = prefixes[key] ?: return false
-        return nowMillis - usedMillis < PREFIX_LIFE_MILLIS
+    /** Whether the prefix [key] was sent there and is still kept. */
+    public fun isCached(key: Long, span: CacheSpan, nowMillis: Long): Boolean {
+        val use = prefixes[key] ?: return false
+        return nowMillis - use.usedMillis < PREFIX_LIFE_MILLIS && span.isKept(use.takenTokens)
     }
 
-    internal fun withPrefixes(prompt: Prompt, nowMillis: Long): UpstreamRecord {
-        val extended = prompt.prefixKeys.dropLast(1).fold(prefixes) { known, key ->
-            known.remove(key).put(key, nowMillis)
-        }
+    internal fun withPrefixes(prompt: Prompt, span: CacheSpan, nowMillis: Long): UpstreamRecord {
+        val use = PrefixUse(nowMillis, span.takenTokens)
+        val extended = prompt.prefixKeys.dropLast(1).fold(prefixes) { known, key -> known.remove(key).put(key, use) }
         val surplus = extended.keys.take(maxOf(0, extended.size - MAX_PREFIXES))
         return copy(prefixes = surplus.fold(extended) { known, key -> known.remove(key) })
     }
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -33,7 +33,7 @@
 ): GenerationRequest {
     val parts = listOf(PromptPart(shared, sharedTokens), PromptPart("own-$shared-$ownTokens", ownTokens))
     val prompt = Prompt(parts, sharedTokens + ownTokens, 100)
-    return GenerationRequest(SERVICE, ENGINE, prompt, targetMillis, leftMillis, bodyBytes = 17_000)
+    return GenerationRequest(SERVICE, ENGINE, prompt, targetMillis, leftMillis, gapMillis = 200, bodyBytes = 17_000)
 }
 
 private fun Dispatcher.reader(request: GenerationRequest, nowMillis: Long = 0): UpstreamId =
@@ -167,6 +167,55 @@
             }
         }
 
+        describe("a stream of long prompts through engines that generate") {
+            fun Dispatcher.tokensAtDecoder(request: GenerationRequest): Int =
+                place(request, emptySet(), 20).shouldBeInstanceOf<Placement.Whole>().tokensToRead
+
+            fun Dispatcher.takeOver(request: GenerationRequest) {
+                val attempt =
+                    started(UpstreamId.parse("decoder"), request.prompt, Attempt.TAKE_OVER_TOKENS, 10)
+                promptRead(attempt, 10)
+                ended(attempt, AttemptEnd.ANSWERED, 10)
+            }
+
+            it("pushes older shared parts out of their caches") {
+                val dispatcher = dispatcher(upstream("decoder", EngineStage.DECODE)).apply { entries = 1 }
+                val request = generation("first", 1_100)
+                dispatcher.tokensAtDecoder(request) shouldBe 14_400
+                dispatcher.takeOver(request)
+                dispatcher.tokensAtDecoder(request) shouldBe 1_100
+                repeat(30) { dispatcher.takeOver(generation("other-$it", 1_100)) }
+                dispatcher.tokensAtDecoder(request) shouldBe 14_400
+            }
+            it("pushes them out the sooner the more entries send there") {
+                val dispatcher = dispatcher(upstream("decoder", EngineStage.DECODE)).apply { entries = 8 }
+                val request = generation("first", 1_100)
+                dispatcher.tokensAtDecoder(request) shouldBe 14_400
+                dispatcher.takeOver(request)
+                repeat(4) { dispatcher.takeOver(generation("other-$it", 1_100)) }
+                dispatcher.tokensAtDecoder(request) shouldBe 14_400
+            }
+        }
+
+        describe("a flood of short prompts while long ones wait") {
+            it("goes to an engine that generates only until its streams would pause too long") {
+                val dispatcher =
+                    dispatcher(upstream("reader-0", EngineStage.PREFILL), upstream("decoder", EngineStage.DECODE))
+                dispatcher.entries = 1
+                dispatcher.readPrompt("reader-0", 2_000)
+                val placements = List(8) {
+                    val short = generation("summary", 500, sharedTokens = 350, targetMillis = 400)
+                    val placement = dispatcher.place(short, emptySet(), 2_001)
+                    if (placement is Placement.Whole) {
+                        dispatcher.started(placement.upstream.id, null, placement.tokensToRead, 2_001)
+                    }
+                    placement
+                }
+                placements.first().shouldBeInstanceOf<Placement.Whole>()
+                placements.last().shouldBeInstanceOf<Placement.Split>()
+            }
+        }
+
         describe("engines that generate") {
             val reader = upstream("reader-0", EngineStage.PREFILL)
             val near = upstream("near", EngineStage.DECODE)
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import marigoldward.core.routes.Route
+import marigoldward.gateway.session.AnswerPace
 
 /** The metrics of an entry. */
 internal object GatewayMetrics {
@@ -31,6 +32,7 @@
             .labelNames("end")
             .register()
     private val firstSeconds: Histogram = histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
+    private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
     private val wholeSeconds: Histogram = histogram("marigoldward_request_seconds", "Time to the end of an answer")
     val routesVersion: Gauge =
         Gauge.builder().name("marigoldward_routes_version").help("The configuration of routes in force").register()
@@ -43,11 +45,12 @@
 
     fun attemptEnded(label: String) = attempts.labelValues(label).inc()
 
-    fun requestEnded(route: Route, outcome: String, firstMillis: Long?, wholeMillis: Long) {
+    fun requestEnded(route: Route, outcome: String, pace: AnswerPace, wholeMillis: Long) {
         val priority = route.priority.toString()
         requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
         wholeSeconds.labelValues(priority).observe(wholeMillis / MILLIS_PER_SECOND)
-        if (firstMillis != null) firstSeconds.labelValues(priority).observe(firstMillis / MILLIS_PER_SECOND)
+        pace.firstMillis?.let { firstSeconds.labelValues(priority).observe(it / MILLIS_PER_SECOND) }
+        pace.longestPauseMillis?.let { pauseSeconds.labelValues(priority).observe(it / MILLIS_PER_SECOND) }
     }
 
     private fun histogram(name: String, help: String): Histogram = Histogram
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ServingContext.kt
@@ -22,8 +22,8 @@
     private val gates = HashMap<PoolName, ReadGate<ReadTurn>>()
     private val allowances = HashMap<PoolName, RetryAllowance>()
 
-    /** How many entries share the budget for repeats. */
-    var entries: Int = UNKNOWN_ENTRIES
+    /** How many entries share the upstreams and the budget for repeats. */
+    var entries: Int by dispatcher::entries
 
     /** The time of all decisions, in milliseconds of monotonic time. */
     fun nowMillis(): Long = MonotonicClock.nowMillis()
@@ -40,9 +40,4 @@
     /** Calls [action] on the loop's thread, [delayMillis] milliseconds from now. */
     fun later(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
         loop.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
-
-    private companion object {
-        /** The number of entries until a control instance has told it; on the large side, so that little is spent. */
-        const val UNKNOWN_ENTRIES = 32
-    }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -12,8 +12,7 @@
         private set
     protected var tried: Set<UpstreamId> = emptySet()
         private set
-    protected var firstMillis: Long? = null
-        private set
+    private var pace = AnswerPace.NONE
     protected var isOver: Boolean = false
         private set
 
@@ -58,14 +57,14 @@
     protected fun takeRepeat(): Boolean =
         context.allowance(request.serviceName).tryTake(context.entries, context.nowMillis())
 
-    /** Notes that the first part of the answer goes to the caller now. */
-    protected fun firstPart() {
-        if (firstMillis == null) firstMillis = context.nowMillis() - request.arrivedMillis
+    /** Notes that a part of the answer goes to the caller now. */
+    protected fun passed() {
+        pace = pace.after(context.nowMillis(), request.arrivedMillis)
     }
 
     /** Ends the request with an upstream's whole answer. */
     protected fun answer(head: AnswerHead, body: ByteArray) {
-        firstPart()
+        passed()
         over("answered", head.status)
         request.exchange.answer(AnswerHead(head.status, head.headers.endToEnd().without(LENGTH)), body)
     }
@@ -87,7 +86,7 @@
         if (isOver) return
         isOver = true
         onOver()
-        SessionLog.ended(request, outcome, status, firstMillis, context.nowMillis())
+        SessionLog.ended(request, outcome, status, pace, context.nowMillis())
     }
 
     private fun callerLeft() {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -36,15 +36,16 @@
         }
     }
 
-    fun ended(request: SessionRequest, outcome: String, status: Int?, firstMillis: Long?, nowMillis: Long) {
+    fun ended(request: SessionRequest, outcome: String, status: Int?, pace: AnswerPace, nowMillis: Long) {
         val wholeMillis = nowMillis - request.arrivedMillis
-        GatewayMetrics.requestEnded(request.route, outcome, firstMillis, wholeMillis)
+        GatewayMetrics.requestEnded(request.route, outcome, pace, wholeMillis)
         log.info("ended") {
             field("request", request.id)
             field("route", request.route.name)
             field("outcome", outcome)
             field("status", status)
-            field("first_ms", firstMillis)
+            field("first_ms", pace.firstMillis)
+            field("pause_ms", pace.longestPauseMillis)
             field("took_ms", wholeMillis)
         }
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -62,6 +62,7 @@
             prompt = prompt,
             targetMillis = maxOf(1, targetMillis),
             leftMillis = leftMillis,
+            gapMillis = request.route.targetGapMillis.takeIf { it > 0 } ?: Long.MAX_VALUE,
             bodyBytes = request.body.size,
         )
     }
@@ -247,6 +248,7 @@
             if (!isCurrent || isDelivered(event)) return
             sent().promptRead()
             begin()
+            passed()
             lastEventId = event.id ?: lastEventId
             request.exchange.send(event.bytes)
         }
@@ -260,7 +262,6 @@
         private fun begin() {
             if (hasBegun) return
             hasBegun = true
-            firstPart()
             request.exchange.begin(AnswerHead(head.status, head.headers.endToEnd().without(setOf("content-length"))))
         }
 
