Both stages in each data centre; engines in doubt are tried again sooner; overdue prompts count as a queue

Ruled out: late lists (13 to 21 ms old), connections (refused at once), wrong beliefs about caches (prompts that are alone at an engine take what was expected in nine of ten cases). Change: StagePlanner takes the last engine of its stage in a data centre last, and restores what is missing there while no prompts queue; an engine from which bytes came since it failed takes work like others; where all engines of a stage have failed, those come into question again after the first ejection; a prompt that is overdue is a queue; a generation counts as lost when its caller's patience ends, not its time; Retry-After is close to the third of its time that a caller waits. Tests: StagePlannerTest, DispatcherTest, PlatformDialectTest; without the planner's rule a data centre stays lopsided.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -175,18 +175,24 @@
     }
 
     private fun usable(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long): List<UpstreamRecord> =
-        records.values.filter { record ->
-            record.listed.service == service &&
-                !record.listed.isLeaving &&
-                record.listed.id !in tried &&
-                isHealthy(record, nowMillis)
-        }
+        records.values
+            .filter { it.listed.service == service && !it.listed.isLeaving && it.listed.id !in tried }
+            .groupBy { it.listed.stage }
+            .values
+            .flatMap { sameStage -> healthiest(sameStage, nowMillis) }
+
+    /** Where all have failed, as after a cut, those come first into question again that may be back. */
+    private fun healthiest(records: List<UpstreamRecord>, nowMillis: Long): List<UpstreamRecord> = records
+        .filter { isHealthy(it, nowMillis) }
+        .ifEmpty { records.filter { it.health.isWorthTrying(nowMillis) && isOpen(it, nowMillis) } }
 
     /** After an ejection one attempt at a time tries the upstream; one that does not answer at all gets none. */
-    private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean {
-        val health = record.health
-        val isTried = health.failures > 0 && record.attempts.isNotEmpty()
-        return nowMillis >= health.ejectedUntilMillis && !isTried && !isSilent(record, nowMillis)
+    private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean =
+        nowMillis >= record.health.ejectedUntilMillis && isOpen(record, nowMillis)
+
+    private fun isOpen(record: UpstreamRecord, nowMillis: Long): Boolean {
+        val isTried = record.health.isInDoubt && record.attempts.isNotEmpty()
+        return !isTried && !isSilent(record, nowMillis)
     }
 
     /** An engine that reads prompts says nothing until it has read one, however long others wait. */
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -47,10 +47,7 @@
     ): List<StageChange> {
         val wanted = Math.round(gauges.size * START_READER_PART).toInt() - readers
         val spare = minOf(wanted, spareDecoders(gauges.size, decoders.size))
-        val perDataCentre = decoders.groupingBy { it.engine.dataCentre }.eachCount()
-        return donors(decoders, spare)
-            .filter { perDataCentre.getValue(it.engine.dataCentre) > 1 }
-            .map { StageChange(it, EngineStage.PREFILL) }
+        return donors(gauges, decoders, spare).map { StageChange(it, EngineStage.PREFILL) }
     }
 
     private fun changes(
@@ -63,10 +60,11 @@
         return when {
             decoders.size < leastDecoders(gauges.size) -> missingDecoders(gauges, readers, decoders.size)
             isIdle(gauges) -> startingChanges(gauges, readers.size, decoders)
-            queue >= LONG_QUEUE -> donors(decoders, spareDecoders(gauges.size, decoders.size))
+            queue >= LONG_QUEUE -> donors(gauges, decoders, spareDecoders(gauges.size, decoders.size))
                 .map { StageChange(it, EngineStage.PREFILL) }
             load >= FULL_LOAD && queue < SHORT_QUEUE && readers.size > 1 ->
-                donors(readers, 1).map { StageChange(it, EngineStage.DECODE) }
+                donors(gauges, readers, 1).map { StageChange(it, EngineStage.DECODE) }
+            queue < SHORT_QUEUE && load > 0 -> missingInPlaces(gauges)
             else -> emptyList()
         }
     }
@@ -79,9 +77,22 @@
     ): List<StageChange> {
         if (gauges.any { it.isBusy }) return emptyList()
         val missing = minOf(leastDecoders(gauges.size) - decoders, readers.size - 1)
-        return donors(readers, missing).map { StageChange(it, EngineStage.DECODE) }
+        return leastBusy(readers, missing).map { StageChange(it, EngineStage.DECODE) }
     }
 
+    /**
+     * A data centre that is cut off serves its callers alone, so wherever there are two engines, both stages are wanted.
+     * Prompts that queue everywhere go before that, and so do those that will before the first work.
+     */
+    private fun missingInPlaces(gauges: List<EngineGauge>): List<StageChange> = gauges
+        .groupBy { it.engine.dataCentre }
+        .values
+        .filter { it.size > 1 }
+        .mapNotNull { engines ->
+            val missing = EngineStage.entries.firstOrNull { stage -> engines.none { it.stage == stage } }
+            missing?.let { stage -> StageChange(leastBusy(engines, 1).first(), stage) }
+        }
+
     private fun leastDecoders(engines: Int): Int = maxOf(1, Math.ceil(engines * LEAST_DECODER_PART).toInt())
 
     /** How many engines may stop generating now: the rest must carry the load, and some must always be left. */
@@ -91,20 +102,26 @@
         return minOf(decoders - maxOf(least, needed), Math.ceil(decoders * MOST_CHANGED_PART).toInt())
     }
 
-    /** The [count] engines with the least to finish, so that each data centre keeps its part. */
-    private fun donors(engines: List<EngineGauge>, count: Int): List<EngineGauge> {
+    /** The [count] of [engines] with the least to finish; the last of its stage in a data centre is taken last. */
+    private fun donors(gauges: List<EngineGauge>, engines: List<EngineGauge>, count: Int): List<EngineGauge> {
+        val inPlace = gauges.groupingBy { it.engine.dataCentre }.eachCount()
+        val kept = engines
+            .groupBy { it.engine.dataCentre }
+            .filterKeys { inPlace.getValue(it) > 1 }
+            .values
+            .map { sameStage -> sameStage.sortedWith(LEAST_BUSY).last() }
+            .toSet()
+        val first = leastBusy(engines - kept, count)
+        return first + leastBusy(kept.toList(), count - first.size)
+    }
+
+    /** The [count] of [engines] with the least to finish, so that each data centre keeps its part. */
+    private fun leastBusy(engines: List<EngineGauge>, count: Int): List<EngineGauge> {
         val left = engines.toMutableList()
-        return List(maxOf(0, count)) {
+        return List(count.coerceIn(0, engines.size)) {
             val perDataCentre = left.groupingBy { it.engine.dataCentre }.eachCount()
-            val next =
-                left
-                    .sortedWith(
-                        compareByDescending<EngineGauge> { perDataCentre.getValue(it.engine.dataCentre) }
-                            .thenBy { it.running + it.waiting }
-                            .thenBy { it.engine.id.text },
-                    ).first()
-            left.remove(next)
-            next
+            val mostFirst = compareByDescending<EngineGauge> { perDataCentre.getValue(it.engine.dataCentre) }
+            left.sortedWith(mostFirst.then(LEAST_BUSY)).first().also(left::remove)
         }
     }
 
@@ -120,6 +137,9 @@
 
     /** Creates planners. */
     public companion object {
+        private val LEAST_BUSY: Comparator<EngineGauge> =
+            compareBy<EngineGauge> { it.running + it.waiting }.thenBy { it.engine.id.text }
+
         /** The weight of the newest observation: three or four count. */
         private const val AVERAGE_STEP = 0.4
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -6,14 +6,23 @@
  * @property failures attempts in a row in which it could not be reached or broke off
  * @property failureRate the part of the latest attempts that failed, from 0 to 1
  * @property ejectedUntilMillis it gets no work before, in milliseconds of monotonic time
+ * @property failedMillis when an attempt there last failed, in milliseconds of monotonic time
  * @property heardMillis when bytes last came from it, in milliseconds of monotonic time
  */
 public data class UpstreamHealth(
     val failures: Int,
     val failureRate: Double,
     val ejectedUntilMillis: Long,
+    val failedMillis: Long,
     val heardMillis: Long,
 ) {
+    /** Whether its latest attempts failed and nothing has come from it since. */
+    val isInDoubt: Boolean get() = failures > 0 && heardMillis <= failedMillis
+
+    /** Whether its first ejection would be over at [nowMillis], however often it has failed. */
+    internal fun isWorthTrying(nowMillis: Long): Boolean =
+        minOf(ejectedUntilMillis, failedMillis + FIRST_EJECTION_MILLIS) <= nowMillis
+
     /** Returns the health after an attempt that began at [startedMillis] ended as [end] at [nowMillis]. */
     internal fun after(end: AttemptEnd, startedMillis: Long, nowMillis: Long): UpstreamHealth = when (end) {
         AttemptEnd.CANCELLED -> this
@@ -22,16 +31,18 @@
         AttemptEnd.NOT_RUN -> rated(1.0).copy(failures = 0)
         AttemptEnd.MISDIRECTED -> copy(ejectedUntilMillis = nowMillis + MISDIRECTED_MILLIS)
         AttemptEnd.UNREACHABLE -> rated(1.0).ejected(nowMillis)
-        AttemptEnd.BROKEN -> rated(1.0).let { if (it.failures > 0) it.ejected(nowMillis) else it.copy(failures = 1) }
+        AttemptEnd.BROKEN -> rated(1.0).let { if (it.isInDoubt) it.ejected(nowMillis) else it.doubted(nowMillis) }
         AttemptEnd.SILENT -> if (heardMillis > startedMillis) rated(1.0) else rated(1.0).ejected(nowMillis)
     }
 
     private fun rated(failure: Double): UpstreamHealth =
         copy(failureRate = failureRate + RATE_STEP * (failure - failureRate))
 
+    private fun doubted(nowMillis: Long): UpstreamHealth = copy(failures = 1, failedMillis = nowMillis)
+
     private fun ejected(nowMillis: Long): UpstreamHealth {
         val pauseMillis = FIRST_EJECTION_MILLIS shl minOf(failures, MAX_DOUBLINGS)
-        return copy(failures = failures + 1, ejectedUntilMillis = nowMillis + pauseMillis)
+        return copy(failures = failures + 1, ejectedUntilMillis = nowMillis + pauseMillis, failedMillis = nowMillis)
     }
 
     /** Creates health records. */
@@ -49,6 +60,6 @@
         private const val MISDIRECTED_MILLIS = 2_000L
 
         /** The health of an upstream of which nothing is known. */
-        public val UNKNOWN: UpstreamHealth = UpstreamHealth(0, 0.0, NEVER_MILLIS, NEVER_MILLIS)
+        public val UNKNOWN: UpstreamHealth = UpstreamHealth(0, 0.0, NEVER_MILLIS, NEVER_MILLIS, NEVER_MILLIS)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -38,17 +38,24 @@
     /**
      * Returns how long a prompt waits there before it is read, in milliseconds.
      *
-     * That is what the last one waited, less and less as time goes by, or what the entry's own prompts there need. If
-     * none was read there lately, it is at least [usualMillis], as elsewhere. Engines read what they have begun in
-     * turn, whatever its rank.
+     * That is what the last one waited, less and less as time goes by, or what the entry's own prompts there need, or how
+     * long one of these is overdue. If none was read there lately, it is at least [usualMillis], as elsewhere. Engines
+     * read what they have begun in turn, whatever its rank.
      */
     public fun readWaitMillis(costs: PlacementCosts, usualMillis: Double, nowMillis: Long): Double {
         val isKnown = nowMillis - readDelay.seenMillis < KNOWN_MILLIS
         val leftMillis = readDelay.leftMillis(nowMillis)
         val seenMillis = if (isKnown) leftMillis else maxOf(leftMillis, usualMillis)
-        return maxOf(seenMillis, ownReadingTokens / costs.readTokensPerMilli)
+        val ownMillis = ownReadingTokens / costs.readTokensPerMilli
+        return maxOf(seenMillis, ownMillis, oldestReadMillis(nowMillis) - ownMillis)
     }
 
+    /** For how long the entry's oldest prompt there has not been read, in milliseconds. */
+    private fun oldestReadMillis(nowMillis: Long): Double = attempts.values.filter {
+        it.isReading && !it.isTakeOver
+    }.maxOfOrNull { nowMillis - it.startedMillis }?.toDouble()
+        ?: 0.0
+
     /** The requests that are there at [nowMillis]: others' by the last report while that is fresh, and the own. */
     public fun requests(nowMillis: Long): Int = attempts.size + othersRequests(nowMillis)
 
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -79,6 +79,27 @@
             }
         }
 
+        describe("an entry whose upstreams have all failed") {
+            it("tries them again sooner than one that has others") {
+                val dispatcher = dispatcher(upstream("one"))
+                repeat(5) { round ->
+                    val attempt = dispatcher.started(UpstreamId.parse("one"), null, 0, round * 10L)
+                    dispatcher.ended(attempt, AttemptEnd.UNREACHABLE, round * 10L)
+                }
+                dispatcher.place(SERVICE, emptySet(), 100).shouldBeInstanceOf<Placement.None>()
+                dispatcher.place(SERVICE, emptySet(), 600).shouldBeInstanceOf<Placement.Whole>()
+            }
+            it("uses one fully as soon as it has been heard again") {
+                val one = UpstreamId.parse("one")
+                val dispatcher = dispatcher(upstream("one"))
+                dispatcher.ended(dispatcher.started(one, null, 0, 0), AttemptEnd.BROKEN, 10)
+                dispatcher.started(one, null, 0, 20)
+                dispatcher.place(SERVICE, emptySet(), 30).shouldBeInstanceOf<Placement.None>()
+                dispatcher.heard(one, null, 40)
+                dispatcher.place(SERVICE, emptySet(), 50).shouldBeInstanceOf<Placement.Whole>()
+            }
+        }
+
         describe("prompts that share a part, from entries that know nothing of each other") {
             it("are read by the same engine") {
                 val engines = readers(4) + upstream("decoder", EngineStage.DECODE)
@@ -138,6 +159,14 @@
                 dispatcher.readPrompt(home.text, 4_000)
                 dispatcher.reader(request, 4_010) shouldNotBe home
             }
+            it("is passed over as soon as an earlier prompt is overdue there, before that has been read") {
+                val dispatcher = dispatcher(*engines.toTypedArray())
+                val request = generation("catalogue", 3_700, leftMillis = 3_000)
+                val home = dispatcher.reader(request)
+                dispatcher.started(home, generation("other", 3_700).prompt, 3_700, 0)
+                dispatcher.reader(request, 100) shouldBe home
+                dispatcher.reader(request, 2_500) shouldNotBe home
+            }
             it("refuses at once what can't be served in time anywhere") {
                 val dispatcher = dispatcher(*engines.toTypedArray())
                 listOf("reader-0", "reader-1").forEach { dispatcher.readPrompt(it, 9_000) }
--- a/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
@@ -87,6 +87,36 @@
                 changes(fleet(readers = 1, decoders = 0, queue = 0), rounds = 1).shouldBeEmpty()
             }
         }
+        describe("a data centre that may be cut off") {
+            fun stagesByPlace(gauges: List<EngineGauge>) = gauges.groupBy({ it.engine.dataCentre.text }, { it.stage })
+
+            it("gets an engine that generates if all of its engines read") {
+                val lopsided = listOf(0, 1, 2, 3, 4, 6).map { gauge(it, EngineStage.PREFILL, 0) } +
+                    listOf(5, 7).map { gauge(it, EngineStage.DECODE, 0) }
+                changes(lopsided, rounds = 1).map { it.gauge.engine.dataCentre.text to it.stage } shouldBe
+                    listOf("dc-0" to EngineStage.DECODE)
+            }
+            it("gives up one of two that generate if prompts queue and no other data centre has one to spare") {
+                val gauges = fleet(readers = 3, decoders = 3, queue = 9)
+                changes(gauges, rounds = 1).map { it.stage } shouldBe listOf(EngineStage.PREFILL)
+            }
+            it("keeps what was changed for the first work until that has come") {
+                val start = fleet(readers = 3, decoders = 3, queue = 0, usedPart = 0.0, orders = 0)
+                val first = StagePlanner.INITIAL.observe(start, start.size, 0)
+                first.changes.map { it.stage } shouldBe listOf(EngineStage.PREFILL)
+                val changed = first.changes.single().gauge.engine.id
+                val after = start.map { gauge ->
+                    if (gauge.engine.id == changed) gauge.copy(stage = EngineStage.PREFILL, sequence = 1) else gauge
+                }
+                first.planner.observe(after, after.size, 10_000).changes.shouldBeEmpty()
+            }
+            it("keeps both stages while another data centre has engines to spare") {
+                val gauges = fleet(readers = 3, decoders = 6, queue = 9)
+                val changed = changes(gauges).map { it.gauge.engine.id }
+                val after = gauges.map { if (it.engine.id in changed) it.copy(stage = EngineStage.PREFILL) else it }
+                stagesByPlace(after).values.forEach { it.toSet() shouldBe EngineStage.entries.toSet() }
+            }
+        }
         describe("a fleet that has done nothing yet") {
             it("gets more engines that read, since all caches are empty") {
                 changes(
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -4,6 +4,7 @@
 import marigoldward.core.dispatch.Prompt
 import marigoldward.core.dispatch.ReportedLoad
 import marigoldward.core.model.UpstreamId
+import marigoldward.core.routes.Route
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.RequestHead
@@ -25,6 +26,9 @@
     /** Returns the request that frees a KV cache that nobody will take. */
     public fun released(handle: String): RequestHead
 
+    /** Returns for how long callers wait for the first event of a stream on [route], in milliseconds. */
+    public fun patienceMillis(route: Route): Long
+
     /** Returns the headers that an answer of this system's own to the request [requestId] has. */
     public fun ownHeaders(requestId: String?): Headers
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/ReadTurn.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ReadTurn.kt
@@ -18,8 +18,8 @@
         /** It waits; [onTurn] says when it may go. */
         data object Later : Verdict
 
-        /** It would wait for [waitMillis], which is too long. */
-        data class TooLong(val waitMillis: Long) : Verdict
+        /** It would wait too long. */
+        data object TooLong : Verdict
     }
 
     private var isWaiting = false
@@ -40,7 +40,7 @@
                 throughMillis = context.nowMillis()
                 Verdict.Now
             }
-            waitMillis > maxOf(longestHoldMillis, leftMillis * HOPE_PART) -> Verdict.TooLong(waitMillis.toLong())
+            waitMillis > maxOf(longestHoldMillis, leftMillis * HOPE_PART) -> Verdict.TooLong
             else -> {
                 hold()
                 Verdict.Later
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
@@ -39,15 +39,17 @@
         private const val MILLIS_PER_SECOND = 1_000.0
 
         /** The shortest and longest time to come again, in milliseconds. */
-        private val RETRY_AFTER_MILLIS = 50L..1_000L
-        private const val RETRY_PARTS = 8
+        private val RETRY_AFTER_MILLIS = 50L..2_000L
+
+        /** Callers wait for a third of the time that they have left at most; a little less, as it comes a bit later. */
+        private const val RETRY_PARTS = 3.5
 
         /** Returns the end of a request that [placement] found nothing for and that has [leftMillis] left. */
         fun fromPlacement(placement: Placement.None, leftMillis: Long): NotRun =
             NotRun(placement.reason.name.lowercase(), retryAfter(leftMillis))
 
         /** Returns when a caller that has [leftMillis] left should come again. */
-        fun retryAfter(leftMillis: Long): Long = (leftMillis / RETRY_PARTS).coerceIn(RETRY_AFTER_MILLIS)
+        fun retryAfter(leftMillis: Long): Long = (leftMillis / RETRY_PARTS).toLong().coerceIn(RETRY_AFTER_MILLIS)
 
         /** Sends [end] to the caller of [exchange]. */
         fun send(end: SessionEnd, requestId: String?, exchange: CallerExchange, dialect: Dialect) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -61,12 +61,16 @@
             engine = engine,
             prompt = prompt,
             targetMillis = maxOf(1, targetMillis),
-            leftMillis = leftMillis,
+            leftMillis = minOf(leftMillis, patienceLeftMillis()),
             gapMillis = request.route.targetGapMillis.takeIf { it > 0 } ?: Long.MAX_VALUE,
             bodyBytes = request.body.size,
         )
     }
 
+    /** For how long the caller still waits for the first event, in milliseconds. */
+    private fun patienceLeftMillis(): Long =
+        request.arrivedMillis + context.dialect.patienceMillis(request.route) - context.nowMillis()
+
     private fun giveUp(placement: Placement.None) {
         turn.leave()
         val reason = placement.reason.name.lowercase()
@@ -80,13 +84,10 @@
     /** Long prompts are read a few at a time; one that has begun to run is not held up any more. */
     private fun readInTurn(placement: Placement.Split) {
         if (history.mayHaveRun) return readPrompt(placement)
-        when (val verdict = turn.take(placement.tokensToRead, leftMillis)) {
+        when (turn.take(placement.tokensToRead, leftMillis)) {
             ReadTurn.Verdict.Now -> readPrompt(placement)
             ReadTurn.Verdict.Later -> Unit
-            is ReadTurn.Verdict.TooLong -> {
-                val retryAfterMillis = minOf(verdict.waitMillis, leftMillis / RETRY_PARTS)
-                end(SessionEnd.NotRun("queue", maxOf(SessionEnd.retryAfter(leftMillis), retryAfterMillis)))
-            }
+            ReadTurn.Verdict.TooLong -> end(SessionEnd.NotRun("queue", SessionEnd.retryAfter(leftMillis)))
         }
     }
 
@@ -292,9 +293,6 @@
     private companion object {
         const val OK = 200
 
-        /** A caller waits for at most this part of its time before it comes again. */
-        const val RETRY_PARTS = 3
-
         /** How an attempt ends that leaves the KV cache where it is. */
         val NOT_TAKEN = setOf(AttemptEnd.NOT_RUN, AttemptEnd.MISDIRECTED, AttemptEnd.UNREACHABLE)
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -3,6 +3,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.Prompt
 import marigoldward.core.dispatch.PromptPart
+import marigoldward.core.routes.Route
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
@@ -30,6 +31,8 @@
         return head.copy(headers = Headers(head.headers.endToEnd().without(OWN).entries + step + resumed))
     }
 
+    override fun patienceMillis(route: Route): Long = route.timeoutMillis
+
     override fun readAnswer(head: AnswerHead): Dialect.AnswerFacts = Dialect.AnswerFacts(
         requestId = head.headers.first("X-Id"),
         isSigned = head.headers.has("X-Signed"),
