An upstream whose address changed hands is not tried again at once

Cause: found by reading the change: where all upstreams of a stage have failed, the health of one whose address had changed hands did not say when that was seen, so that it came into question at once. Change: its time is noted; the test of it in DispatcherTest was not run against the code before. Names and comments.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -59,8 +59,8 @@
         val decoders = usable.filter { it.listed.stage != EngineStage.PREFILL }
         if (decoders.isEmpty()) return Placement.None(reason(request.service))
         val readers = usable.filter { it.listed.stage == EngineStage.PREFILL }
-        size(decoders, request)
-        size(readers, request)
+        noteCacheSize(decoders, request)
+        noteCacheSize(readers, request)
         val view = view(request, decoders.size, nowMillis)
         val direct = decoders.map { view.whole(it, tokensToRead(it, prompt, isHome = false, nowMillis)) }
         val home = homeOrNull(readers, prompt)
@@ -161,7 +161,7 @@
         )
     }
 
-    private fun size(engines: List<UpstreamRecord>, request: GenerationRequest) {
+    private fun noteCacheSize(engines: List<UpstreamRecord>, request: GenerationRequest) {
         val first = engines.firstOrNull() ?: return
         turnover.sized(first.listed, request.engine.kvCapacityTokens, engines.size, entries)
     }
@@ -181,7 +181,7 @@
             .values
             .flatMap { sameStage -> healthiest(sameStage, nowMillis) }
 
-    /** Where all have failed, as after a cut, those come first into question again that may be back. */
+    /** Returns the healthy ones; if all have failed, as after a cut, those that may be back by now. */
     private fun healthiest(records: List<UpstreamRecord>, nowMillis: Long): List<UpstreamRecord> = records
         .filter { isHealthy(it, nowMillis) }
         .ifEmpty { records.filter { it.health.isWorthTrying(nowMillis) && isOpen(it, nowMillis) } }
@@ -190,6 +190,7 @@
     private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean =
         nowMillis >= record.health.ejectedUntilMillis && isOpen(record, nowMillis)
 
+    /** Whether no attempt there is still to show whether it lives. */
     private fun isOpen(record: UpstreamRecord, nowMillis: Long): Boolean {
         val isTried = record.health.isInDoubt && record.attempts.isNotEmpty()
         return !isTried && !isSilent(record, nowMillis)
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -29,7 +29,7 @@
         AttemptEnd.ANSWERED -> rated(0.0).copy(failures = 0, ejectedUntilMillis = NEVER_MILLIS)
         AttemptEnd.FAILED -> rated(1.0).copy(failures = 0)
         AttemptEnd.NOT_RUN -> rated(1.0).copy(failures = 0)
-        AttemptEnd.MISDIRECTED -> copy(ejectedUntilMillis = nowMillis + MISDIRECTED_MILLIS)
+        AttemptEnd.MISDIRECTED -> copy(ejectedUntilMillis = nowMillis + MISDIRECTED_MILLIS, failedMillis = nowMillis)
         AttemptEnd.UNREACHABLE -> rated(1.0).ejected(nowMillis)
         AttemptEnd.BROKEN -> rated(1.0).let { if (it.isInDoubt) it.ejected(nowMillis) else it.doubted(nowMillis) }
         AttemptEnd.SILENT -> if (heardMillis > startedMillis) rated(1.0) else rated(1.0).ejected(nowMillis)
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Queues.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Queues.kt
@@ -44,15 +44,9 @@
      */
     fun heads(queue: ClassQueue, nowMillis: Long): List<PendingWork> {
         val due = queue.repeated.values.filter { it.notBeforeMillis <= nowMillis }
-        val first = due.firstOrNull() ?: queue.fresh.values.firstOrNull()
-        val next = if (first?.isSuspect ==
-            true
-        ) {
-            due.firstOrNull { !it.isSuspect } ?: queue.fresh.values.firstOrNull()
-        } else {
-            null
-        }
-        return listOfNotNull(first, next)
+        val inOrder = due + listOfNotNull(queue.fresh.values.firstOrNull())
+        val first = inOrder.firstOrNull() ?: return emptyList()
+        return listOfNotNull(first, inOrder.firstOrNull { first.isSuspect && !it.isSuspect })
     }
 
     fun queueOf(state: ServingState, pool: PoolName, priority: PriorityClass): ClassQueue =
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -89,6 +89,12 @@
                 dispatcher.place(SERVICE, emptySet(), 100).shouldBeInstanceOf<Placement.None>()
                 dispatcher.place(SERVICE, emptySet(), 600).shouldBeInstanceOf<Placement.Whole>()
             }
+            it("leaves one alone at first whose address has changed hands") {
+                val dispatcher = dispatcher(upstream("one"))
+                val attempt = dispatcher.started(UpstreamId.parse("one"), null, 0, 0)
+                dispatcher.ended(attempt, AttemptEnd.MISDIRECTED, 10)
+                dispatcher.place(SERVICE, emptySet(), 100).shouldBeInstanceOf<Placement.None>()
+            }
             it("uses one fully as soon as it has been heard again") {
                 val one = UpstreamId.parse("one")
                 val dispatcher = dispatcher(upstream("one"))
