marigoldward explain-log: from a request's id to its cause in the logs of entries

Change: explain-log reads the lines of any number of entries, prints those of the request with their offsets, what the entry believed then and for how long, and the cause: where the time went, whether the upstream failed others meanwhile, why it was refused.

--- a/cli/src/main/kotlin/marigoldward/cli/Main.kt
+++ b/cli/src/main/kotlin/marigoldward/cli/Main.kt
@@ -5,9 +5,11 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
+import kotlinx.cli.vararg
 import marigoldward.cli.command.ConfigurationCommands
 import marigoldward.cli.command.EngineCommands
 import marigoldward.cli.command.ExplainCommand
+import marigoldward.cli.command.ExplainLogCommand
 import marigoldward.cli.command.StatusCommand
 import marigoldward.cli.command.printReply
 import marigoldward.core.control.ControlCommand
@@ -45,6 +47,7 @@
         ReplaceReplica(),
         ReleaseQuarantine(),
         Explain(),
+        ExplainLog(),
     )
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
@@ -192,3 +195,11 @@
         return ExplainCommand.run(settings, id)
     }
 }
+
+@OptIn(ExperimentalCli::class)
+private class ExplainLog : Subcommand("explain-log", "find in the logs of entries what became of a request") {
+    private val request by argument(ArgType.String, description = "the request id, as its caller gave it")
+    private val files by argument(ArgType.String, description = "the logs of the entries").vararg()
+
+    override fun execute() = finish(ExplainLogCommand.run(request, files.map(::File)))
+}
--- /dev/null
+++ b/cli/src/main/kotlin/marigoldward/cli/command/ExplainLogCommand.kt
@@ -0,0 +1,28 @@
+package marigoldward.cli.command
+
+import marigoldward.cli.ExitCode
+import marigoldward.cli.log.LogLine
+import marigoldward.cli.log.RequestTrace
+import java.io.File
+import java.io.IOException
+
+/** `explain-log REQUEST-ID FILE …`: finds in the logs of entries what became of a request. */
+internal object ExplainLogCommand {
+    fun run(id: String, files: List<File>): ExitCode {
+        val lines = files.flatMap { file ->
+            try {
+                file.readLines().mapNotNull { LogLine.parseOrNull(file.nameWithoutExtension, it) }
+            } catch (failure: IOException) {
+                System.err.println("file=$file result=not_read reason=\"${failure.message}\"")
+                return ExitCode.USAGE
+            }
+        }
+        val trace = RequestTrace.fromLines(id, lines)
+        if (!trace.isKnown) {
+            System.err.println("result=not_found request=$id lines=${lines.size}")
+            return ExitCode.REFUSED
+        }
+        trace.describe().forEach(::println)
+        return ExitCode.DONE
+    }
+}
