--- a/bench/src/main/kotlin/marigoldward/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/soak/SoakPlan.kt
@@ -5,9 +5,9 @@
 /**
  * A random scenario: faults from outside the processes, in series that overlap, while callers send work.
  *
- * Every fault ends before the scenario does. What is checked holds whatever comes: no wrong answer, no request said not to
- * have run that did, no booking made twice, no conflicting commands to engines; and all work is served once the faults are
- * over.
+ * Every fault ends before the scenario does. What is checked holds whatever comes: no wrong answer, no request said
+ * not to have run that did, no booking made twice, no conflicting commands to engines; and all work is served once the
+ * faults are over.
  */
 internal class SoakPlan private constructor(private val seed: Long) {
     private val random = Random(seed)
--- a/cli/src/main/kotlin/marigoldward/cli/log/RequestTrace.kt
+++ b/cli/src/main/kotlin/marigoldward/cli/log/RequestTrace.kt
@@ -52,8 +52,9 @@
 
     private fun answered(last: LogLine): String {
         val failed = lines.count { it.event == "attempt_ended" }
-        return "answered with ${last["status"]} after ${last["took_ms"]} ms, the first part after ${last["first_ms"]} ms, " +
-            "the longest pause ${last["pause_ms"] ?: 0} ms, $failed attempts before; ${longestWait()}"
+        return "answered with ${last["status"]} after ${last["took_ms"]} ms, " +
+            "the first part after ${last["first_ms"]} ms, the longest pause ${last["pause_ms"] ?: 0} ms, " +
+            "$failed attempts before; ${longestWait()}"
     }
 
     /** The longest time between two decisions about the request says where it waited. */
--- a/core/src/main/kotlin/marigoldward/core/dispatch/CacheTurnover.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/CacheTurnover.kt
@@ -13,7 +13,7 @@
 
     private var spans = emptyMap<Group, CacheSpan>()
 
-    /** Notes that [engines] engines like [listed] keep [capacityTokens] tokens each and [entries] entries send there. */
+    /** Notes that [engines] engines like [listed] hold [capacityTokens] tokens each; [entries] entries send there. */
     fun sized(listed: ListedUpstream, capacityTokens: Long, engines: Int, entries: Int) {
         val keptTokens = (capacityTokens * KEPT_PART * engines / maxOf(1, entries)).toLong()
         change(listed) { it.copy(keptTokens = keptTokens) }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -81,7 +81,7 @@
     }
 
     /**
-     * A data centre that is cut off serves its callers alone, so wherever there are two engines, both stages are wanted.
+     * A data centre that is cut off serves its callers alone, so where there are two engines, both stages are wanted.
      * Prompts that queue everywhere go before that, and so do those that will before the first work.
      */
     private fun missingInPlaces(gauges: List<EngineGauge>): List<StageChange> = gauges
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -38,8 +38,8 @@
     /**
      * Returns how long a prompt waits there before it is read, in milliseconds.
      *
-     * That is what the last one waited, less and less as time goes by, or what the entry's own prompts there need, or how
-     * long one of these is overdue. If none was read there lately, it is at least [usualMillis], as elsewhere. Engines
+     * That is what the last one waited, less and less as time goes by, or what the entry's own prompts there need, or
+     * how long one of these is overdue. If none was read there lately, it is at least [usualMillis], as elsewhere. Engines
      * read what they have begun in turn, whatever its rank.
      */
     public fun readWaitMillis(costs: PlacementCosts, usualMillis: Double, nowMillis: Long): Double {
