Configurations of routes are checked by the operators' program

Cause: `marigoldward validate` took folders of declarations only, so an operator could learn of a mistake in a configuration of routes only from control's answer.

Ruled out: a second reader of the format in the command line. It uses the one that control uses, behind RouteDocumentReader, and prints what would be in force: each route with its services, times, rank and attempts.

--- a/cli/src/main/kotlin/marigoldward/cli/Main.kt
+++ b/cli/src/main/kotlin/marigoldward/cli/Main.kt
@@ -10,6 +10,7 @@
 import marigoldward.cli.command.EngineCommands
 import marigoldward.cli.command.ExplainCommand
 import marigoldward.cli.command.ExplainLogCommand
+import marigoldward.cli.command.RouteCommands
 import marigoldward.cli.command.StatusCommand
 import marigoldward.cli.command.printReply
 import marigoldward.core.control.ControlCommand
@@ -21,6 +22,7 @@
 import marigoldward.core.model.RequestId
 import marigoldward.core.model.Revision
 import marigoldward.core.model.UpstreamId
+import marigoldward.platform.RouteDocumentJson
 import marigoldward.support.program.Program
 import marigoldward.wire.control.ControlClient
 import marigoldward.wire.rpc.ClusterIdentity
@@ -87,10 +89,17 @@
 }
 
 @OptIn(ExperimentalCli::class)
-private class Validate : Subcommand("validate", "check a folder of declarations") {
-    private val folder by argument(ArgType.String, description = "folder with base.ini and overlays/")
+private class Validate : Subcommand("validate", "check declarations, or a configuration of routes") {
+    private val path by
+        argument(ArgType.String, description = "folder with base.ini and overlays/, or a file of routes")
 
-    override fun execute() = finish(ConfigurationCommands.validate(File(folder)))
+    override fun execute() {
+        val place = File(path)
+        val isFolder = place.isDirectory || !place.exists()
+        finish(
+            if (isFolder) ConfigurationCommands.validate(place) else RouteCommands(RouteDocumentJson).validate(place),
+        )
+    }
 }
 
 private class Diff : ConnectedCommand("diff", "compare a folder of declarations with what is in force") {
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
@@ -20,6 +20,9 @@
     /** Whether the upstream takes a KV cache over and reads nothing itself. */
     val isTakeOver: Boolean get() = tokensToRead == TAKE_OVER_TOKENS
 
+    /** Whether the upstream has still to read the prompt itself. */
+    val isReadingPrompt: Boolean get() = isReading && !isTakeOver
+
     /** Numbers. */
     public companion object {
         /** What an engine has to read that takes a KV cache over: the token after it. */
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -69,7 +69,7 @@
      * reads while an event is made add up to one pause of each stream.
      */
     private fun disturbance(decoder: UpstreamRecord, tokens: Int): Double {
-        val own = decoder.attempts.values.sumOf { if (it.isReading && !it.isTakeOver) steps(it.tokensToRead) else 0 }
+        val own = decoder.attempts.values.sumOf { if (it.isReadingPrompt) steps(it.tokensToRead) else 0 }
         val eventMillis = request.engine.tokensPerEvent * costs.stepMillis
         val steps = minOf(request.engine.tokensPerEvent, own + steps(tokens)) + othersStepsPerMilli * eventMillis
         val pauseMillis = eventMillis + steps * costs.ownReadFactor * costs.readMillis(TOKENS_PER_STEP)
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -51,10 +51,8 @@
     }
 
     /** For how long the entry's oldest prompt there has not been read, in milliseconds. */
-    private fun oldestReadMillis(nowMillis: Long): Double = attempts.values.filter {
-        it.isReading && !it.isTakeOver
-    }.maxOfOrNull { nowMillis - it.startedMillis }?.toDouble()
-        ?: 0.0
+    private fun oldestReadMillis(nowMillis: Long): Double =
+        attempts.values.filter { it.isReadingPrompt }.maxOfOrNull { nowMillis - it.startedMillis }?.toDouble() ?: 0.0
 
     /** The requests that are there at [nowMillis]: others' by the last report while that is fresh, and the own. */
     public fun requests(nowMillis: Long): Int = attempts.size + othersRequests(nowMillis)
