The leader among the replicas reads the list of upstreams for all of them

Cause: each control instance read the whole list every 0.9 s, and each entry read it at its start before any control instance was there to tell it.

Ruled out: reading less often everywhere. A change must be known within the time in which an address may be used anew, and an entry falls back on its own reading at 1.5 s. Followers as watchers of the leader's feed: a second connection for what the heartbeats carry anyway.

Change: SharedDirectory. The leader reads every 0.6 s; its replication messages carry the list's edition and age, and the list itself when the receiver has not been told that edition. A follower that hears nothing for 1.1 s reads by itself; an instance that is no member, which no entry follows, does not read. An entry reads by itself only once it has a configuration. DirectoryBook moved to support: entries and replicas decide by the same rule.

Figures: SharedDirectoryTest (six followers, 6 s: 11 readings, by the leader; a restarted follower isn't told that nothing changed; the leader is believed again once it is newer). ClusterTest with real instances: one reader, and another after the leader was stopped; both fail on the code before, where all three read.

Conclusion: calls no longer grow with the replicas.

--- a/control/src/main/kotlin/marigoldward/control/ControlProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/ControlProgram.kt
@@ -2,6 +2,7 @@
 
 import marigoldward.control.operator.ControlService
 import marigoldward.control.peer.PeerLinks
+import marigoldward.control.peer.PeerNews
 import marigoldward.control.peer.PeerService
 import marigoldward.control.replica.ReplicaDuty
 import marigoldward.control.replica.ReplicaDutyEvent
@@ -60,13 +61,13 @@
             val distribution = Duty.start<DistributionUpdate>("distribution", DISTRIBUTION_RING_EVENTS) {
                 hub.publish(it.last())
             }
-            val links = PeerLinks(settings.id, identity, settings.peers::get) { 0 }
+            val links = PeerLinks(settings.id, identity, settings.peers::get, PeerNews.None)
             val replica =
                 ReplicaDuty(store, ReplicationTiming.DEFAULT, System.nanoTime(), outputs(store, links, distribution))
             val duty = Duty.start("replica", RING_EVENTS, replica::handle)
             val timer = startTimers(settings, store, links, duty, hub)
             val services = listOf(
-                PeerService(settings.peers::containsKey, duty, replica::published) { _, _ -> }.service,
+                PeerService(settings.peers::containsKey, duty, replica::published) {}.service,
                 ControlService(duty, hub).service,
                 hub.service,
             )
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -1,7 +1,9 @@
 package marigoldward.control.cluster
 
 import marigoldward.control.feed.EntryFeed
+import marigoldward.control.feed.SharedDirectory
 import marigoldward.control.peer.PeerLinks
+import marigoldward.control.peer.PeerNews
 import marigoldward.control.peer.PeerService
 import marigoldward.control.replica.ReplicaDuty
 import marigoldward.control.replica.ReplicaDutyEvent
@@ -24,7 +26,9 @@
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 import marigoldward.support.time.TimerService
+import marigoldward.wire.peer.DirectoryNews
 import marigoldward.wire.peer.JoinReply
+import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.rpc.RpcServer
 import java.net.InetSocketAddress
 
@@ -39,7 +43,7 @@
     private val cluster = settings.cluster
     private val timer = TimerService.start()
     private val feed: EntryFeed = EntryFeed(settings.dataCentre) { replica.published }
-    private val links = PeerLinks(settings.ip, cluster.identity, cluster::rpcAddressOrNull, feed::entriesToTell)
+    private val links = PeerLinks(settings.ip, cluster.identity, cluster::rpcAddressOrNull, News())
     private val replica: ReplicaDuty =
         ReplicaDuty(
             store,
@@ -50,10 +54,8 @@
         )
     private val duty = Duty.start("replica", RING_EVENTS, replica::handle)
     private val directory = DirectoryDuty(directorySource, ::directoryRead)
-
-    @Volatile
-    private var listed = emptyList<ListedUpstream>()
-    private val stages = StageDuty(settings.ip, engines, duty, settings.leaseMillis + SETTLE_MARGIN_MILLIS) { listed }
+    private val shared = SharedDirectory(System.nanoTime())
+    private val stages = StageDuty(settings.ip, engines, duty, settings.leaseMillis + SETTLE_MARGIN_MILLIS, ::listed)
 
     @Volatile
     private var seeds = cluster.seedInstances
@@ -65,7 +67,7 @@
     /** The operators' configurations. */
     public val routes: RouteStore = RouteStore(duty, reader)
 
-    private val peers = PeerService(::isPeer, duty, { replica.published }, feed::entriesTold)
+    private val peers = PeerService(::isPeer, duty, { replica.published }, ::newsCame)
     private val server =
         RpcServer.start(
             InetSocketAddress(settings.ip.text, cluster.rpcPort),
@@ -94,15 +96,35 @@
     private fun startTimers() {
         timer.subscribe(TICK_MILLIS) { duty.offer(ReplicaDutyEvent.Tick) }
         timer.subscribe(BEAT_MILLIS, feed::beat)
-        timer.subscribe(DIRECTORY_MILLIS, directory::poll)
+        timer.subscribe(DIRECTORY_MILLIS, ::readDirectoryIfDue)
         timer.subscribe(STAGES_MILLIS, stages::poll)
         timer.subscribe(JOIN_MILLIS, ::announceIfOutside)
-        directory.poll()
+    }
+
+    private fun listed(): List<ListedUpstream> = shared.readingOrNull?.upstreams.orEmpty()
+
+    private fun readDirectoryIfDue() {
+        val current = replica.published
+        val role = when {
+            current.isLeader -> SharedDirectory.Role.LEADER
+            current.isMember -> SharedDirectory.Role.FOLLOWER
+            else -> SharedDirectory.Role.OUTSIDER
+        }
+        if (shared.shouldRead(role, MonotonicClock.nowMillis())) directory.poll()
     }
 
     private fun directoryRead(reading: DirectoryReading) {
-        listed = reading.upstreams
-        feed.directoryRead(reading)
+        if (shared.read(reading)) directoryChanged()
+    }
+
+    private fun newsCame(envelope: PeerEnvelope) {
+        feed.entriesTold(envelope.from.name, envelope.entries)
+        val news = envelope.directory ?: return
+        if (shared.told(news, MonotonicClock.nowMillis())) directoryChanged()
+    }
+
+    private fun directoryChanged() {
+        shared.readingOrNull?.let(feed::directoryRead)
     }
 
     /** Any instance of the cluster may be a peer: identity is checked with each call. */
@@ -122,6 +144,13 @@
         }
     }
 
+    private inner class News : PeerNews {
+        override fun entries(): Int = feed.entriesToTell()
+
+        override fun directoryOrNull(toldEdition: Long?): DirectoryNews? =
+            if (replica.published.isLeader) shared.newsOrNull(toldEdition, MonotonicClock.nowMillis()) else null
+    }
+
     private inner class ReplicaOutputs : ReplicaDuty.Outputs {
         override fun send(to: ReplicaId, message: ReplicaMessage) = links.send(store.replica, to, message)
 
@@ -138,8 +167,8 @@
         /** How often entries hear of this instance; a third of what they allow, in milliseconds. */
         private const val BEAT_MILLIS = 400L
 
-        /** How often the directory is read, in milliseconds; a third of the time in which a change must be known. */
-        private const val DIRECTORY_MILLIS = 900L
+        /** How often it is looked whether the directory should be read, in milliseconds. */
+        private const val DIRECTORY_MILLIS = 200L
 
         /** How often the leader looks at the engines, in milliseconds; each look is a call to each. */
         private const val STAGES_MILLIS = 1_000L
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
@@ -22,13 +22,13 @@
  * Sends replication messages to the other replicas. Messages that can't be delivered are dropped.
  *
  * @param addressOrNull where an instance is reached, or null if that is not known
- * @param entries the number of entries to tell the others
+ * @param news what else to tell the others
  */
 internal class PeerLinks(
     private val self: InstanceId,
     private val identity: ClusterIdentity,
     private val addressOrNull: (InstanceId) -> InetSocketAddress?,
-    private val entries: () -> Int,
+    private val news: PeerNews,
 ) : AutoCloseable {
     private val links = ConcurrentHashMap<InstanceId, PeerLink>()
 
@@ -54,7 +54,7 @@
         if (name == self) return null
         links[name]?.let { return it }
         val address = addressOrNull(name) ?: return null
-        return links.computeIfAbsent(name) { PeerLink(name, address, identity, entries) }
+        return links.computeIfAbsent(name) { PeerLink(name, address, identity, news) }
     }
 }
 
@@ -63,13 +63,14 @@
     name: InstanceId,
     private val address: InetSocketAddress,
     private val identity: ClusterIdentity,
-    private val entries: () -> Int,
+    private val news: PeerNews,
 ) : AutoCloseable {
     private data class Outgoing(val from: ReplicaId, val to: ReplicaId, val message: ReplicaMessage)
 
     @Volatile
     private var client = RpcClient.to(address, identity)
     private var openedMillis = MonotonicClock.nowMillis()
+    private var toldEdition: Long? = null
     private val duty: Duty<Outgoing> = Duty.start("peer-$name", RING_MESSAGES, ::deliver)
 
     fun send(from: ReplicaId, to: ReplicaId, message: ReplicaMessage) {
@@ -93,8 +94,10 @@
     private fun deliver(batch: List<Outgoing>) {
         batch.chunked(MAX_ENVELOPE_MESSAGES).forEach { part ->
             part.groupBy { Ends(it.from, it.to) }.forEach { (ends, messages) ->
-                val envelope = PeerEnvelope(ends.from, ends.to, messages.map { it.message }, entries())
+                val directory = news.directoryOrNull(toldEdition)
+                val envelope = PeerEnvelope(ends.from, ends.to, messages.map { it.message }, news.entries(), directory)
                 val reply = client.call(PeerRpc.DELIVER, envelope, DELIVERY_MILLIS)
+                toldEdition = directory?.edition.takeIf { reply is Outcome.Success }
                 if (reply is Outcome.Failure) undelivered(messages.size)
             }
         }
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
@@ -20,13 +20,13 @@
  * Takes what other replicas send; one that [isKnown] does not accept is refused.
  *
  * @param status what this replica last published of itself
- * @param onEntries told how many entries watch another replica
+ * @param onNews told what came, for what it says besides replication
  */
 internal class PeerService(
     private val isKnown: (InstanceId) -> Boolean,
     private val duty: Duty<ReplicaDutyEvent>,
     private val status: () -> PublishedStatus,
-    private val onEntries: (InstanceId, Int) -> Unit,
+    private val onNews: (PeerEnvelope) -> Unit,
 ) {
     private val lastLoggedMillis = AtomicLong(MonotonicClock.nowMillis() - LOG_PERIOD_MILLIS)
 
@@ -46,7 +46,7 @@
 
     private fun deliver(envelope: PeerEnvelope): Acknowledgement {
         if (!accepts(envelope.from.name)) return Acknowledgement(isTaken = false)
-        onEntries(envelope.from.name, envelope.entries)
+        onNews(envelope)
         val taken = envelope.messages.map { message ->
             duty.offer(ReplicaDutyEvent.Received(envelope.from, envelope.to, message))
         }
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -24,6 +24,7 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Documents of the tests are a version and a text: `7 anything`. */
 private val READER = RouteDocumentReader { content ->
@@ -44,6 +45,7 @@
     private val port = ServerSocket(0).use { it.localPort }
     private val root: Path = Files.createTempDirectory("cluster")
     private val running = HashMap<Int, ClusterProgram>()
+    private val readings = HashMap<Int, AtomicInteger>()
 
     fun start(number: Int, isFirstStart: Boolean, seeds: List<Int> = listOf(1, 2, 3)) {
         val settings =
@@ -63,7 +65,25 @@
                 directory = InetSocketAddress("127.0.0.1", 1),
                 leaseMillis = 3_000,
             )
-        running[number] = ClusterProgram.start(settings, READER, { Outcome.Success(emptyList()) }, NoEngines)
+        val readings = readings.getOrPut(number) { AtomicInteger() }
+        running[number] = ClusterProgram.start(settings, READER, { countedReading(readings) }, NoEngines)
+    }
+
+    /** Returns which instances read the directory during [periodMillis]. */
+    fun readersWithin(periodMillis: Long): Set<Int> {
+        val before = readings.mapValues { it.value.get() }
+        Thread.sleep(periodMillis)
+        return readings.filter { (number, count) -> count.get() > before.getValue(number) }.keys
+    }
+
+    /** Returns who leads as far as all agree, once they do. */
+    fun leader(): Int = await {
+        running.values.map { it.leader }.distinct().singleOrNull()
+    }.text.substringAfterLast('.').toInt()
+
+    private fun countedReading(count: AtomicInteger): Outcome<List<ListedUpstream>, String> {
+        count.incrementAndGet()
+        return Outcome.Success(emptyList())
     }
 
     fun stop(number: Int) {
@@ -139,6 +159,19 @@
                     cluster.read() shouldBe "5 five"
                 }
             }
+            it("read the list of upstreams once for all, and another goes on when the leader is gone") {
+                Cluster().use { cluster ->
+                    (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                    cluster.store("5 five")
+                    val first = cluster.leader()
+                    Thread.sleep(1_500)
+                    cluster.readersWithin(2_000) shouldBe setOf(first)
+                    cluster.stop(first)
+                    cluster.readersWithin(3_000).isEmpty() shouldBe false
+                    val next = cluster.leader()
+                    cluster.readersWithin(2_000) shouldBe setOf(next)
+                }
+            }
             it("replace one that is gone for good by one that nobody knew") {
                 Cluster().use { cluster ->
                     (1..3).forEach { cluster.start(it, isFirstStart = true) }
--- /dev/null
+++ b/control/src/test/kotlin/marigoldward/control/feed/SharedDirectoryTest.kt
@@ -0,0 +1,97 @@
+package marigoldward.control.feed
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.booleans.shouldBeFalse
+import io.kotest.matchers.booleans.shouldBeTrue
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import marigoldward.control.feed.SharedDirectory.Role
+import marigoldward.core.dispatch.EngineStage
+import marigoldward.core.dispatch.ListedUpstream
+import marigoldward.core.model.DataCentre
+import marigoldward.core.model.PoolName
+import marigoldward.core.model.UpstreamId
+import marigoldward.support.directory.DirectoryReading
+
+private fun upstream(name: String): ListedUpstream = ListedUpstream(
+    id = UpstreamId.parse(name),
+    service = PoolName.parse("design"),
+    address = "127.0.0.1:1",
+    dataCentre = DataCentre.parse("a"),
+    slots = 8,
+    isLeaving = false,
+    isCold = false,
+    stage = EngineStage.DECODE,
+)
+
+private fun reading(atMillis: Long, vararg names: String) = DirectoryReading(names.map(::upstream), atMillis)
+
+private fun names(directory: SharedDirectory): List<String>? = directory.readingOrNull?.upstreams?.map { it.id.text }
+
+class SharedDirectoryTest :
+    DescribeSpec({
+        describe("the list among replicas") {
+            it("is read by the leader alone, however many follow") {
+                val leader = SharedDirectory(100)
+                val followers = List(6) { SharedDirectory(200L + it) }
+                val told = arrayOfNulls<Long>(followers.size)
+                var readings = 0
+                for (nowMillis in 1_000L..7_000L step 200) {
+                    if (leader.shouldRead(Role.LEADER, nowMillis)) {
+                        readings++
+                        leader.read(reading(nowMillis, "e1"))
+                    }
+                    followers.forEachIndexed { index, follower ->
+                        val news = leader.newsOrNull(told[index], nowMillis).shouldNotBeNull()
+                        told[index] = news.edition
+                        follower.told(news, nowMillis + 50)
+                        if (follower.shouldRead(Role.FOLLOWER, nowMillis + 50)) readings++
+                    }
+                }
+                readings shouldBe 11
+            }
+            it("is told whole once and then confirmed") {
+                val leader = SharedDirectory(100)
+                val follower = SharedDirectory(200)
+                leader.read(reading(1_000, "e1"))
+                val first = leader.newsOrNull(null, 1_100).shouldNotBeNull()
+                follower.told(first, 1_150).shouldBeTrue()
+                leader.read(reading(1_600, "e1"))
+                val second = leader.newsOrNull(first.edition, 1_700).shouldNotBeNull()
+                second.snapshot.shouldBeNull()
+                follower.told(second, 1_750).shouldBeTrue()
+                follower.readingOrNull?.readMillis shouldBe 1_650L
+                leader.read(reading(2_200, "e1", "e2"))
+                follower.told(leader.newsOrNull(first.edition, 2_200).shouldNotBeNull(), 2_250)
+                names(follower) shouldBe listOf("e1", "e2")
+            }
+            it("is not confirmed to one that missed the list") {
+                val leader = SharedDirectory(100)
+                val restarted = SharedDirectory(200)
+                leader.read(reading(1_000, "e1"))
+                val edition = leader.newsOrNull(null, 1_000)?.edition
+                restarted.told(leader.newsOrNull(edition, 1_100).shouldNotBeNull(), 1_150).shouldBeFalse()
+                restarted.readingOrNull.shouldBeNull()
+                restarted.shouldRead(Role.FOLLOWER, 1_200).shouldBeTrue()
+            }
+            it("is read by a follower that hears nothing, and the leader is believed again once it is newer") {
+                val leader = SharedDirectory(100)
+                val follower = SharedDirectory(200)
+                leader.read(reading(1_000, "e1"))
+                val news = leader.newsOrNull(null, 1_000).shouldNotBeNull()
+                follower.told(news, 1_000)
+                follower.shouldRead(Role.FOLLOWER, 2_100).shouldBeFalse()
+                follower.shouldRead(Role.FOLLOWER, 2_101).shouldBeTrue()
+                follower.read(reading(2_101, "e1", "e2")).shouldBeTrue()
+                follower.told(leader.newsOrNull(news.edition, 2_200).shouldNotBeNull(), 2_200).shouldBeFalse()
+                names(follower) shouldBe listOf("e1", "e2")
+                leader.read(reading(2_400, "e1", "e3"))
+                follower.told(leader.newsOrNull(news.edition, 2_500).shouldNotBeNull(), 2_500).shouldBeTrue()
+                names(follower) shouldBe listOf("e1", "e3")
+            }
+            it("is not read by an instance that nobody follows") {
+                SharedDirectory(100).shouldRead(Role.OUTSIDER, 60_000).shouldBeFalse()
+            }
+        }
+    })
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -14,11 +14,11 @@
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.StatusServer
 import marigoldward.gateway.control.ControlFeed
-import marigoldward.gateway.directory.DirectoryBook
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.ServingContext
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.bytes.Gzip
+import marigoldward.support.directory.DirectoryBook
 import marigoldward.support.directory.DirectoryDuty
 import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.directory.DirectorySource
@@ -48,7 +48,7 @@
     private val callers = CallerServer(loop, ::limits, gateway::handle)
     private val readiness = StatusServer(loop, ::readinessPage)
     private val metrics = StatusServer(loop, ::metricsPage)
-    private val book = DirectoryBook(random.nextLong(DirectoryBook.MAX_SPREAD_MILLIS))
+    private val book = newBook()
     private val feed = ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::updated)
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { directoryRead(reading) } }
     private val startedMillis = MonotonicClock.nowMillis()
@@ -169,7 +169,7 @@
         GatewayMetrics.directoryAge.set((book.ageMillisOrNull(nowMillis) ?: 0) / MILLIS_PER_SECOND)
         val isLost = nowMillis - startedMillis > DOUBT_MILLIS
         if (isLost) doubtful?.let { offered(it, isFresh = true) }
-        if (book.shouldRead(nowMillis)) directory.poll()
+        if (gateway.configuration != null && book.shouldRead(nowMillis)) directory.poll()
     }
 
     private fun directoryRead(reading: DirectoryReading) {
@@ -177,6 +177,11 @@
         log.info("directory_read") { field("upstreams", reading.upstreams.size) }
     }
 
+    private fun newBook(): DirectoryBook {
+        val spreadMillis = random.nextLong(MAX_SPREAD_MILLIS)
+        return DirectoryBook(OLD_DIRECTORY_MILLIS + spreadMillis, OWN_DIRECTORY_MILLIS + spreadMillis)
+    }
+
     private fun readinessPage(): StatusServer.Page =
         if (isReady) StatusServer.Page(OK, TEXT, "ready\n") else StatusServer.Page(UNAVAILABLE, TEXT, "not ready\n")
 
@@ -195,6 +200,15 @@
         private const val DIRECTORY_MILLIS = 300L
         private const val POOL_MILLIS = 500L
 
+        /** The age of the list at which an entry no longer waits for control, in milliseconds: it missed a reading. */
+        private const val OLD_DIRECTORY_MILLIS = 1_500L
+
+        /** How often an entry reads the list that is on its own, in milliseconds. */
+        private const val OWN_DIRECTORY_MILLIS = 1_000L
+
+        /** The most by which entries spread what they do when they miss the list together, in milliseconds. */
+        private const val MAX_SPREAD_MILLIS = 400L
+
         /** How long an entry looks for a control instance that is surely up to date, in milliseconds. */
         private const val DOUBT_MILLIS = 3_000L
 
--- a/wire/src/main/kotlin/marigoldward/wire/peer/PeerEnvelope.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/peer/PeerEnvelope.kt
@@ -8,6 +8,7 @@
  * Messages of one replica to another, in the order in which they were sent.
  *
  * @property entries how many entries watch the sender; a leader says how many watch all replicas
+ * @property directory the list of upstreams if the sender leads and has one
  */
 @Serializable
 public data class PeerEnvelope(
@@ -15,4 +16,5 @@
     val to: ReplicaId,
     val messages: List<ReplicaMessage>,
     val entries: Int = 0,
+    val directory: DirectoryNews? = null,
 )
