An engine copies what it has dropped of a shared part instead of reading it again

Cause: engines that read prompts drop shared parts while others still keep them. Reading 13,300 tokens takes 270 ms of the scarcest resource, copying them 12 ms of a link.

Change: a placement names the engine to copy from: the prompt's home, or for the home itself the engine that usually generates for the part, found by the same hash and preferred a little there (homePrice). Prices and waits are counted as before. Logs say copies_from with each request sent.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -64,7 +64,8 @@
         val view = view(request, decoders.size, nowMillis)
         val direct = decoders.map { view.whole(it, tokensToRead(it, prompt, isHome = false, nowMillis)) }
         val home = homeOrNull(readers, prompt)
-        val generating = decoders.map(view::generating)
+        val decodeHome = homeOrNull(decoders, prompt)
+        val generating = decoders.map { view.generating(it, isHome = it.listed.id == decodeHome) }
         val split = readers.flatMap { reader ->
             val tokens = tokensToRead(reader, prompt, reader.listed.id == home, nowMillis)
             val reading = view.reading(reader, tokens)
@@ -72,7 +73,25 @@
         }
         val best = (direct + split).minBy { it.price + random.nextDouble() * NEAR_PRICE }
         val isTooLate = best.expectedMillis > request.leftMillis * HOPE_PART
-        return if (isTooLate) Placement.None(Placement.Reason.TOO_LATE) else best.placement
+        if (isTooLate) return Placement.None(Placement.Reason.TOO_LATE)
+        return withFetch(best.placement, prompt, listOfNotNull(home, decodeHome))
+    }
+
+    /**
+     * Lets the engine that reads copy from the first of [keepers] that is another, if the shared part is long.
+     *
+     * Copying takes a twentieth of the time of reading and costs nothing if there is nothing to copy. Where a prompt
+     * goes does not depend on it: the copies would drive out what others keep.
+     */
+    private fun withFetch(placement: Placement, prompt: Prompt, keepers: List<UpstreamId>): Placement {
+        if (prompt.sharedTokens < LEAST_COPIED_TOKENS) return placement
+        fun fetchFor(reader: ListedUpstream): CacheFetch? =
+            keepers.firstOrNull { it != reader.id }?.let { records[it] }?.let { CacheFetch(it.listed) }
+        return when (placement) {
+            is Placement.None -> placement
+            is Placement.Split -> placement.copy(fetch = fetchFor(placement.prefill))
+            is Placement.Whole -> placement.copy(fetch = fetchFor(placement.upstream))
+        }
     }
 
     /** Returns the engine that takes over the KV cache that [reader] has read for [request], or null for none. */
@@ -86,8 +105,9 @@
         val decoders = usable(request.service, tried, nowMillis).filter { it.listed.stage != EngineStage.PREFILL }
         val view = view(request, decoders.size, nowMillis)
         val reading = view.reading(record, Attempt.TAKE_OVER_TOKENS)
+        val home = homeOrNull(decoders, request.prompt)
         return decoders
-            .minByOrNull { view.split(reading, view.generating(it)).price }
+            .minByOrNull { view.split(reading, view.generating(it, it.listed.id == home)).price }
             ?.listed
     }
 
@@ -229,7 +249,7 @@
     private fun least(records: List<UpstreamRecord>, cost: (UpstreamRecord) -> Double): UpstreamRecord =
         records.minBy { cost(it) + random.nextDouble() * NEAR_MILLIS }
 
-    /** Entries agree without talking on the engine that keeps a prefix. */
+    /** Entries agree without talking on the engine of a stage that keeps a prefix. */
     private fun homeOrNull(engines: List<UpstreamRecord>, prompt: Prompt): UpstreamId? {
         val key = prompt.sharedKey ?: return null
         return engines.maxByOrNull { Rendezvous.weight(key, Rendezvous.hash(it.listed.id.text)) }?.listed?.id
@@ -242,6 +262,9 @@
         /** Costs that differ by less are equal, so that entries don't all choose the same, in milliseconds. */
         const val NEAR_MILLIS = 2.0
 
+        /** Shared parts of fewer tokens are read about as fast as a copy begins. */
+        const val LEAST_COPIED_TOKENS = 512
+
         /** Prices that differ by less are taken as equal. */
         const val NEAR_PRICE = 0.005
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationView.kt
@@ -40,9 +40,11 @@
         return Side(reader, tokens, waitMillis + readMillis, readAgain(tokens) + reliability(reader) + way(reader))
     }
 
-    /** [decoder] would take a KV cache over. */
-    fun generating(decoder: UpstreamRecord): Side =
-        Side(decoder, Attempt.TAKE_OVER_TOKENS, decodeMillis(decoder), reliability(decoder) + way(decoder))
+    /** [decoder] would take a KV cache over; where it [isHome], it keeps the shared part for others to copy. */
+    fun generating(decoder: UpstreamRecord, isHome: Boolean): Side {
+        val price = reliability(decoder) + way(decoder) - if (isHome) costs.homePrice else 0.0
+        return Side(decoder, Attempt.TAKE_OVER_TOKENS, decodeMillis(decoder), price)
+    }
 
     /** The two share the request. */
     fun split(reading: Side, generating: Side): Priced {
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
@@ -2,11 +2,20 @@
 
 /** Where a request goes. */
 public sealed interface Placement {
-    /** [upstream] does it all; it is expected to read [tokensToRead] tokens. */
-    public data class Whole(val upstream: ListedUpstream, val tokensToRead: Int) : Placement
+    /** [upstream] does it all; without [fetch], if any, it is expected to read [tokensToRead] tokens. */
+    public data class Whole(val upstream: ListedUpstream, val tokensToRead: Int, val fetch: CacheFetch? = null) :
+        Placement
 
-    /** [prefill] reads [tokensToRead] tokens of the prompt, [decode] takes the KV cache from it and generates. */
-    public data class Split(val prefill: ListedUpstream, val decode: ListedUpstream, val tokensToRead: Int) : Placement
+    /**
+     * [prefill] reads the prompt, [tokensToRead] tokens of it without [fetch], if any; [decode] takes the KV cache from
+     * it and generates.
+     */
+    public data class Split(
+        val prefill: ListedUpstream,
+        val decode: ListedUpstream,
+        val tokensToRead: Int,
+        val fetch: CacheFetch? = null,
+    ) : Placement
 
     /** Nothing can take it now. */
     public data class None(val reason: Reason) : Placement
--- a/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
@@ -16,6 +16,7 @@
  * @property remoteMegabytePrice a megabyte of a request sent to another data centre
  * @property cacheGigabytePrice a gigabyte of KV cache moved within a data centre
  * @property remoteCacheFactor how many times more it costs, and longer it takes, to another data centre
+ * @property homePrice what it is worth that an engine which generates keeps the shared part where all look for it
  * @property readAgainPrice a thousand tokens read that another engine keeps
  * @property fullServiceMillis the time that a plain service with all slots taken lets a request wait, in milliseconds
  * @property remoteCallMillis what calling a plain service in another data centre weighs, in milliseconds
@@ -37,6 +38,7 @@
     val remoteMegabytePrice: Double,
     val cacheGigabytePrice: Double,
     val remoteCacheFactor: Double,
+    val homePrice: Double,
     val readAgainPrice: Double,
     val fullServiceMillis: Double,
     val remoteCallMillis: Double,
@@ -99,6 +101,7 @@
                 remoteMegabytePrice = 8.0,
                 cacheGigabytePrice = 0.022,
                 remoteCacheFactor = 2.0,
+                homePrice = 0.03,
                 readAgainPrice = 0.05,
                 fullServiceMillis = 40.0,
                 remoteCallMillis = 20.0,
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -2,6 +2,7 @@
 
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
+import marigoldward.core.dispatch.CacheFetch
 import marigoldward.core.dispatch.UpstreamRecord
 import marigoldward.gateway.GatewayMetrics
 import marigoldward.support.log.EventLog
@@ -10,13 +11,21 @@
 internal object SessionLog {
     private val log = EventLog.fromName("session")
 
-    fun sent(request: SessionRequest, attempt: Attempt, step: String, record: UpstreamRecord?, leftMillis: Long) {
+    fun sent(
+        request: SessionRequest,
+        attempt: Attempt,
+        step: String,
+        fetch: CacheFetch?,
+        record: UpstreamRecord?,
+        leftMillis: Long,
+    ) {
         log.info("sent") {
             field("request", request.id)
             field("step", step)
             field("upstream", attempt.upstream)
             field("left_ms", leftMillis)
             field("tokens", attempt.tokensToRead)
+            field("copies_from", fetch?.source?.id)
             field("own", record?.attempts?.size)
             field("reported", record?.report?.let { "${it.running}+${it.waiting}" })
             field("report_age_ms", record?.report?.let { attempt.startedMillis - record.reportMillis })
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -3,6 +3,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
+import marigoldward.core.dispatch.CacheFetch
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.core.dispatch.GenerationRequest
 import marigoldward.core.dispatch.ListedUpstream
@@ -29,7 +30,12 @@
 
     override fun attempt() {
         when (val placement = place()) {
-            is Placement.Whole -> generate(placement.upstream, placement.tokensToRead, Dialect.Step.Whole)
+            is Placement.Whole -> generate(
+                placement.upstream,
+                placement.tokensToRead,
+                Dialect.Step.Whole,
+                placement.fetch,
+            )
             is Placement.Split -> readInTurn(placement)
             is Placement.None -> giveUp(placement)
         }
@@ -95,24 +101,34 @@
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, placement.prefill, PrefillAnswers(placement) { sent })
         current = sent
-        val head = context.dialect.forwarded(request.head, order(placement.prefill, Dialect.Step.Prefill))
-        sent.send(head, "prefill", request.facts.prompt, placement.tokensToRead, isFreshNeeded = false)
+        val head = context.dialect.forwarded(
+            request.head,
+            order(placement.prefill, Dialect.Step.Prefill, placement.fetch),
+        )
+        sent.send(head, "prefill", placement.tokensToRead, placement.fetch, isFreshNeeded = false)
         watch(sent)
     }
 
-    private fun generate(upstream: ListedUpstream, tokensToRead: Int, step: Dialect.Step) {
+    private fun generate(upstream: ListedUpstream, tokensToRead: Int, step: Dialect.Step, fetch: CacheFetch? = null) {
         turn.leave()
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, upstream, StreamAnswers { sent })
         current = sent
-        val head = context.dialect.forwarded(request.head, order(upstream, step))
+        val head = context.dialect.forwarded(request.head, order(upstream, step, fetch))
         val label = if (step is Dialect.Step.Decode) "decode" else "whole"
-        sent.send(head, label, request.facts.prompt, tokensToRead, isFreshNeeded = !request.route.isRepeatable)
+        sent.send(head, label, tokensToRead, fetch, isFreshNeeded = !request.route.isRepeatable)
         if (request.route.isRepeatable) watch(sent)
     }
 
-    private fun order(upstream: ListedUpstream, step: Dialect.Step): Dialect.ForwardOrder =
-        Dialect.ForwardOrder(upstream.id, leftMillis, request.route.priority, step, lastEventId)
+    private fun order(upstream: ListedUpstream, step: Dialect.Step, fetch: CacheFetch?): Dialect.ForwardOrder =
+        Dialect.ForwardOrder(
+            upstream.id,
+            leftMillis,
+            request.route.priority,
+            step,
+            lastEventId,
+            fetch?.source?.address,
+        )
 
     /** Goes elsewhere if nothing at all comes from the engine and it takes no connections: it is dead or cut off. */
     private fun watch(sent: UpstreamTry) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
@@ -2,8 +2,8 @@
 
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
+import marigoldward.core.dispatch.CacheFetch
 import marigoldward.core.dispatch.ListedUpstream
-import marigoldward.core.dispatch.Prompt
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
 import marigoldward.gateway.message.RequestHead
@@ -47,12 +47,13 @@
     /** How long ago it was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
-    /** Sends [head]; the upstream is expected to read [tokensToRead] tokens of [prompt]. */
-    fun send(head: RequestHead, label: String, prompt: Prompt?, tokensToRead: Int, isFreshNeeded: Boolean) {
+    /** Sends [head]; the upstream is expected to read [tokensToRead] tokens of the prompt after [fetch], if any. */
+    fun send(head: RequestHead, label: String, tokensToRead: Int, fetch: CacheFetch?, isFreshNeeded: Boolean) {
         val nowMillis = context.nowMillis()
+        val prompt = request.facts.prompt.takeIf { upstream.stage != null }
         attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, nowMillis)
         val leftMillis = request.deadlineMillis - nowMillis
-        SessionLog.sent(request, attempt, label, context.dispatcher.recordOrNull(upstream.id), leftMillis)
+        SessionLog.sent(request, attempt, label, fetch, context.dispatcher.recordOrNull(upstream.id), leftMillis)
         val next = UpstreamCall(upstream, head, request.body, request.id, isFreshNeeded, Answers())
         call = next
         context.pool.send(next)
