The soak delays, resets and cuts connections one way; seeds that are kept run by name

Cause: the soak's only fault of a connection was a cut in both directions.

Change: forwarders hold back either direction, delay, and reset what is open; scenarios know deafen, mute, slow and reset; the soak draws them among its faults. The plans of all seeds differ from those before, since there are more kinds of fault to draw from.

No seed of the new plans was run yet.

Not covered: clocks (our processes use monotonic time, which cannot be shifted from outside without other tools), disks that fill (the fleet has no quota for one folder).

--- a/bench/src/main/kotlin/marigoldward/bench/fleet/Fleet.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/fleet/Fleet.kt
@@ -81,10 +81,22 @@
     }
 
     /** Cuts [name] off from all other processes of the system, in both directions. */
-    public fun cut(name: String): Unit = forwarders.setCut(name, true)
+    public fun cut(name: String): Unit = forwarders.setFault(name, LinkFault.Cut)
 
-    /** Ends the cut of [name]. */
-    public fun heal(name: String): Unit = forwarders.setCut(name, false)
+    /** Lets nothing from the other processes reach [name]. */
+    public fun deafen(name: String): Unit = forwarders.setFault(name, LinkFault.Deaf)
+
+    /** Lets nothing that [name] sends reach the other processes. */
+    public fun mute(name: String): Unit = forwarders.setFault(name, LinkFault.Mute)
+
+    /** Delays everything between [name] and the other processes by [millis] milliseconds. */
+    public fun slow(name: String, millis: Long): Unit = forwarders.setFault(name, LinkFault.Slow(millis))
+
+    /** Ends whatever [cut], [deafen], [mute] or [slow] brought about at [name]. */
+    public fun heal(name: String): Unit = forwarders.setFault(name, null)
+
+    /** Resets the connections between [name] and the other processes that are open now. */
+    public fun reset(name: String): Unit = forwarders.reset(name)
 
     /** Brings about a fault of the stand-in [upstream]. */
     public fun fault(upstream: String, kind: String): Boolean =
--- a/bench/src/main/kotlin/marigoldward/bench/fleet/Forwarder.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/fleet/Forwarder.kt
@@ -7,14 +7,14 @@
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 
-/** A TCP forwarder that can be cut: while it is, bytes are held back in silence and nothing is closed. */
+/** A TCP forwarder whose connections can be held back in silence, in either direction, delayed or reset. */
 internal class Forwarder(private val targetPort: Int) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = ConcurrentHashMap.newKeySet<Socket>()
     private val lock = Object()
 
     @Volatile
-    private var isCut = false
+    private var state = LinkState.OPEN
 
     val port: Int get() = server.localPort
 
@@ -22,16 +22,26 @@
         thread("forward-accept") { accept() }
     }
 
-    fun setCut(cut: Boolean) {
+    fun change(state: LinkState) {
         synchronized(lock) {
-            isCut = cut
+            this.state = state
             lock.notifyAll()
         }
     }
 
+    /** Resets all connections that are open now. */
+    fun reset() {
+        sockets.forEach { socket ->
+            runCatching {
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+        }
+    }
+
     override fun close() {
         server.close()
-        setCut(false)
+        change(LinkState.OPEN)
         sockets.forEach { runCatching { it.close() } }
     }
 
@@ -49,25 +59,25 @@
     }
 
     private fun connect(client: Socket) {
-        waitWhileCut()
+        pass { it.isUpHeld }
         try {
             val target = Socket()
             target.connect(InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort), CONNECT_MILLIS)
             sockets.add(target)
-            thread("forward-up") { copy(client, target) }
-            thread("forward-down") { copy(target, client) }
+            thread("forward-up") { copy(client, target) { it.isUpHeld } }
+            thread("forward-down") { copy(target, client) { it.isDownHeld } }
         } catch (_: IOException) {
             client.close()
         }
     }
 
-    private fun copy(from: Socket, to: Socket) {
+    private fun copy(from: Socket, to: Socket, isHeld: (LinkState) -> Boolean) {
         val buffer = ByteArray(BUFFER_BYTES)
         try {
             while (true) {
                 val count = from.getInputStream().read(buffer)
                 if (count < 0) break
-                waitWhileCut()
+                pass(isHeld)
                 to.getOutputStream().write(buffer, 0, count)
             }
         } catch (_: IOException) {
@@ -79,8 +89,11 @@
         sockets.remove(to)
     }
 
-    private fun waitWhileCut() {
-        synchronized(lock) { while (isCut) lock.wait() }
+    /** Returns once the next piece may pass. */
+    private fun pass(isHeld: (LinkState) -> Boolean) {
+        val delayMillis = state.delayMillis
+        if (delayMillis > 0) Thread.sleep(delayMillis)
+        synchronized(lock) { while (isHeld(state)) lock.wait() }
     }
 
     private fun thread(name: String, work: () -> Unit) {
--- a/bench/src/main/kotlin/marigoldward/bench/fleet/ForwarderTable.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/fleet/ForwarderTable.kt
@@ -5,7 +5,7 @@
     private data class Link(val from: String, val to: String)
 
     private val forwarders = HashMap<Link, Forwarder>()
-    private var cut = emptySet<String>()
+    private var faults = emptyMap<String, LinkFault>()
 
     /** The port at which [from] reaches [to]. */
     @Synchronized
@@ -14,13 +14,33 @@
     ) {
         ports.processes(to)
     } else {
-        forwarders.getOrPut(Link(from, to)) { Forwarder(ports.processes(to)) }.port
+        val link = Link(from, to)
+        forwarders.getOrPut(link) { Forwarder(ports.processes(to)).apply { change(stateOf(link)) } }.port
     }
 
+    /** Brings [fault] about at all connections of [name], or ends what there is if it is null. */
     @Synchronized
-    fun setCut(name: String, isCut: Boolean) {
-        cut = if (isCut) cut + name else cut - name
-        forwarders.forEach { (link, forwarder) -> forwarder.setCut(link.from in cut || link.to in cut) }
+    fun setFault(name: String, fault: LinkFault?) {
+        faults = if (fault == null) faults - name else faults + (name to fault)
+        forwarders.forEach { (link, forwarder) -> forwarder.change(stateOf(link)) }
+    }
+
+    /** Resets all connections of [name] that are open now. */
+    @Synchronized
+    fun reset(name: String) {
+        forwarders.filterKeys { it.from == name || it.to == name }.values.forEach(Forwarder::reset)
+    }
+
+    private fun stateOf(link: Link): LinkState {
+        val ofCaller = faults[link.from]
+        val ofCalled = faults[link.to]
+        val both = listOfNotNull(ofCaller, ofCalled)
+        val isCut = LinkFault.Cut in both
+        return LinkState(
+            isUpHeld = isCut || ofCaller == LinkFault.Mute || ofCalled == LinkFault.Deaf,
+            isDownHeld = isCut || ofCaller == LinkFault.Deaf || ofCalled == LinkFault.Mute,
+            delayMillis = both.filterIsInstance<LinkFault.Slow>().sumOf { it.millis },
+        )
     }
 
     @Synchronized
--- a/bench/src/main/kotlin/marigoldward/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/soak/SoakPlan.kt
@@ -65,13 +65,21 @@
             Kind.STOP -> Fault(entry, "stop $entry", "start $entry")
             Kind.FREEZE -> listOf(control, controller).random(random).let { Fault(it, "freeze $it", "thaw $it") }
             Kind.CUT -> Fault(process, "cut $process", "heal $process")
+            Kind.DEAFEN -> Fault(process, "deafen $process", "heal $process")
+            Kind.MUTE -> Fault(process, "mute $process", "heal $process")
+            Kind.SLOW -> Fault(
+                process,
+                "slow $process ms=${random.nextLong(SHORT_DELAY_MILLIS, LONG_DELAY_MILLIS)}",
+                "heal $process",
+            )
+            Kind.RESET -> Fault(process, "reset $process", null)
             Kind.CRASH -> Fault(engine, "fault $engine crash", null)
             Kind.FREEZE_ENGINE -> Fault(engine, "fault $engine freeze", "fault $engine thaw")
             Kind.BREAK_SERVICE -> Fault(service, "fault $service break-after-run", "fault $service normal")
         }
     }
 
-    private enum class Kind { KILL, STOP, FREEZE, CUT, CRASH, FREEZE_ENGINE, BREAK_SERVICE }
+    private enum class Kind { KILL, STOP, FREEZE, CUT, DEAFEN, MUTE, SLOW, RESET, CRASH, FREEZE_ENGINE, BREAK_SERVICE }
 
     /** A booking is sent twice, through two entries: it may run once. */
     private fun addBooking(number: Int, atMillis: Long) {
@@ -100,6 +108,10 @@
         private const val LEAST_MILLIS = 300L
         private const val MOST_MILLIS = 5_000L
 
+        /** The shortest and longest delay of a slow link, in milliseconds: the way to another region, two heartbeats. */
+        private const val SHORT_DELAY_MILLIS = 20L
+        private const val LONG_DELAY_MILLIS = 400L
+
         private val CLOSING =
             listOf(
                 "wait 6000ms",
--- a/bench/src/test/kotlin/marigoldward/bench/soak/SoakPlanTest.kt
+++ b/bench/src/test/kotlin/marigoldward/bench/soak/SoakPlanTest.kt
@@ -1,5 +1,6 @@
 package marigoldward.bench.soak
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.collections.shouldNotBeEmpty
@@ -10,7 +11,15 @@
 private val SEEDS = 1L..200L
 
 /** The verbs that begin a fault of a process, each with the one that ends it. */
-private val ENDS = mapOf("kill" to "start", "stop" to "start", "freeze" to "thaw", "cut" to "heal")
+private val ENDS = mapOf(
+    "kill" to "start",
+    "stop" to "start",
+    "freeze" to "thaw",
+    "cut" to "heal",
+    "deafen" to "heal",
+    "mute" to "heal",
+    "slow" to "heal",
+)
 
 class SoakPlanTest :
     DescribeSpec({
@@ -33,4 +42,12 @@
                 }
             }
         }
+        describe("the list of seeds that are kept") {
+            it("has a seed a line, with its reason, and remarks") {
+                SoakSeeds.read("# remark\n\n7 why\n 8 other\n") shouldBe listOf(7L, 8L)
+            }
+            it("is refused if a line names none") {
+                shouldThrow<IllegalArgumentException> { SoakSeeds.read("seven why") }
+            }
+        }
     })
