A request whose key can't be looked up is not called "not run": an earlier attempt may have run

A booking was made through entry-2; its resend with the same key came to entry-3 while control-1 was slow and just after control-2 had been deaf, the claim got no answer, and the entry said 503 not_run. The attempt had not run, but the request of that key had, and a caller that had lost the first answer would have booked again under another key.

Remembering keys at entries: resends come through any of them.

The platform's requests have no keys; nothing changes there.

--- a/entry/src/main/kotlin/marigoldward/entry/caller/IdempotencyGuard.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/caller/IdempotencyGuard.kt
@@ -33,7 +33,7 @@
         /** The key was used for another request. */
         data object Reused : Verdict
 
-        /** The state can't be asked; the request is not run. */
+        /** The state can't be asked: this attempt is not run, but an earlier one with the key may have. */
         data class Unavailable(val reason: String) : Verdict
     }
 
--- a/entry/src/main/kotlin/marigoldward/entry/caller/ServiceSession.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/caller/ServiceSession.kt
@@ -46,7 +46,12 @@
                     spec.id,
                 )
             is IdempotencyGuard.Verdict.Unavailable ->
-                Outcomes.notRun(UNAVAILABLE, "claim_unavailable", claimed.reason, spec.id)
+                Outcomes.unknown(
+                    UNAVAILABLE,
+                    "claim_unavailable",
+                    "${claimed.reason}; this attempt did not run, an earlier one with the key may have",
+                    spec.id,
+                ).header("Retry-After", RETRY_AFTER_SECONDS)
         }
     }
 
@@ -133,6 +138,9 @@
     private companion object {
         const val DECISION_SLACK_MILLIS = 2_000L
         const val RETRY_AFTER_MILLIS = 1_000L
+
+        /** An election takes about this long, in seconds. */
+        const val RETRY_AFTER_SECONDS = "2"
         const val CONFLICT = 409
         const val UNPROCESSABLE = 422
         const val UNAVAILABLE = 503
