One type less for copies, one reading in place of a list and its time, one summary of scenarios

Cause: read once more. DirectoryBook kept the list and its time apart and put them together for each caller. The soak printed its summary as the scenarios do, in its own words.

Ruled out: one clock for when a leader reads and when a follower reads by itself. They differ at the bound (a leader's period is reached, a follower's is passed), and that is behaviour.

Change: placements, sessions and the dialect name the upstream to copy from (copyFrom); DirectoryBook holds one DirectoryReading; ScenarioRun.exitCode serves both programs. No decision, bound or assertion changes.

--- a/bench/src/main/kotlin/marigoldward/bench/scenario/Main.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/scenario/Main.kt
@@ -10,7 +10,6 @@
         exitProcess(2)
     }
     val root = File(arguments.first())
-    val failed = arguments.drop(1).map(::File).filter { !ScenarioRun.passes(root, it) }
-    println("${arguments.size - 1 - failed.size} passed, ${failed.size} failed")
-    exitProcess(if (failed.isEmpty()) 0 else 1)
+    val files = arguments.drop(1).map(::File)
+    exitProcess(ScenarioRun.exitCode(files.size, files.count { !ScenarioRun.passes(root, it) }))
 }
--- a/bench/src/main/kotlin/marigoldward/bench/scenario/ScenarioRun.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/scenario/ScenarioRun.kt
@@ -25,6 +25,12 @@
         }
     }
 
+    /** Prints how many of [total] scenarios passed and returns the exit code for [failed] that did not. */
+    fun exitCode(total: Int, failed: Int): Int {
+        println("${total - failed} passed, $failed failed")
+        return if (failed == 0) 0 else 1
+    }
+
     private fun runStep(scenario: Scenario, step: ScenarioLine) {
         try {
             scenario.run(step)
--- a/bench/src/main/kotlin/marigoldward/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/soak/Main.kt
@@ -17,9 +17,9 @@
         exitProcess(2)
     }
     val failed = seeds.filter { !passes(root, it) }
-    println("${seeds.size - failed.size} passed, ${failed.size} failed")
+    val code = ScenarioRun.exitCode(seeds.size, failed.size)
     if (failed.isNotEmpty()) println("failed seeds: ${failed.joinToString(" ")}")
-    exitProcess(if (failed.isEmpty()) 0 else 1)
+    exitProcess(code)
 }
 
 private fun seeds(argument: String, root: File): List<Long> {
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -167,7 +167,7 @@
         /** How often entries hear of this instance; a third of what they allow, in milliseconds. */
         private const val BEAT_MILLIS = 400L
 
-        /** How often it is looked whether the directory should be read, in milliseconds. */
+        /** How often a replica checks whether it is to read the directory, in milliseconds. */
         private const val DIRECTORY_MILLIS = 200L
 
         /** How often the leader looks at the engines, in milliseconds; each look is a call to each. */
--- a/control/src/main/kotlin/marigoldward/control/feed/SharedDirectory.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/SharedDirectory.kt
@@ -23,7 +23,7 @@
     private class Heard(val edition: Long, val upstreams: List<ListedUpstream>)
 
     /** The list and when it was known to hold, or null before the first. */
-    val readingOrNull: DirectoryReading? @Synchronized get() = book.readingOrNull()
+    val readingOrNull: DirectoryReading? @Synchronized get() = book.reading
 
     /** Whether this replica should read the list now; if so, it is taken to do that. */
     @Synchronized
@@ -61,7 +61,7 @@
     /** Returns what a leader tells a replica that was told [toldEdition] before, or null if there is no list. */
     @Synchronized
     fun newsOrNull(toldEdition: Long?, nowMillis: Long): DirectoryNews? {
-        val reading = book.readingOrNull() ?: return null
+        val reading = book.reading ?: return null
         val snapshot = if (toldEdition == edition) null else DirectorySnapshot(reading.upstreams)
         return DirectoryNews(edition, nowMillis - reading.readMillis, snapshot)
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -74,7 +74,7 @@
         val best = (direct + split).minBy { it.price + random.nextDouble() * NEAR_PRICE }
         val isTooLate = best.expectedMillis > request.leftMillis * HOPE_PART
         if (isTooLate) return Placement.None(Placement.Reason.TOO_LATE)
-        return withFetch(best.placement, prompt, listOfNotNull(home, decodeHome))
+        return withCopy(best.placement, prompt, listOfNotNull(home, decodeHome))
     }
 
     /**
@@ -83,14 +83,14 @@
      * Copying takes a twentieth of the time of reading and costs nothing if there is nothing to copy. Where a prompt
      * goes does not depend on it: the copies would drive out what others keep.
      */
-    private fun withFetch(placement: Placement, prompt: Prompt, keepers: List<UpstreamId>): Placement {
+    private fun withCopy(placement: Placement, prompt: Prompt, keepers: List<UpstreamId>): Placement {
         if (prompt.sharedTokens < LEAST_COPIED_TOKENS) return placement
-        fun fetchFor(reader: ListedUpstream): CacheFetch? =
-            keepers.firstOrNull { it != reader.id }?.let { records[it] }?.let { CacheFetch(it.listed) }
+        fun keeperFor(reader: ListedUpstream): ListedUpstream? =
+            keepers.firstOrNull { it != reader.id }?.let { records[it]?.listed }
         return when (placement) {
             is Placement.None -> placement
-            is Placement.Split -> placement.copy(fetch = fetchFor(placement.prefill))
-            is Placement.Whole -> placement.copy(fetch = fetchFor(placement.upstream))
+            is Placement.Split -> placement.copy(copyFrom = keeperFor(placement.prefill))
+            is Placement.Whole -> placement.copy(copyFrom = keeperFor(placement.upstream))
         }
     }
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Placement.kt
@@ -2,19 +2,19 @@
 
 /** Where a request goes. */
 public sealed interface Placement {
-    /** [upstream] does it all; without [fetch], if any, it is expected to read [tokensToRead] tokens. */
-    public data class Whole(val upstream: ListedUpstream, val tokensToRead: Int, val fetch: CacheFetch? = null) :
+    /** [upstream] does it all; it reads [tokensToRead] tokens, fewer if [copyFrom] keeps some of them. */
+    public data class Whole(val upstream: ListedUpstream, val tokensToRead: Int, val copyFrom: ListedUpstream? = null) :
         Placement
 
     /**
-     * [prefill] reads the prompt, [tokensToRead] tokens of it without [fetch], if any; [decode] takes the KV cache from
-     * it and generates.
+     * [prefill] reads [tokensToRead] tokens of the prompt, fewer if [copyFrom] keeps some of them; [decode] takes the
+     * KV cache from it and generates.
      */
     public data class Split(
         val prefill: ListedUpstream,
         val decode: ListedUpstream,
         val tokensToRead: Int,
-        val fetch: CacheFetch? = null,
+        val copyFrom: ListedUpstream? = null,
     ) : Placement
 
     /** Nothing can take it now. */
--- a/core/src/test/kotlin/marigoldward/core/dispatch/CacheCopyTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/CacheCopyTest.kt
@@ -49,7 +49,7 @@
             it("are read by the engine that keeps the part, which copies what it has dropped from one that generates") {
                 val placement = entry(1).split(generation("part", 1))
                 placement.tokensToRead shouldBe OWN_TOKENS
-                placement.fetch.shouldNotBeNull().source shouldBe placement.decode
+                placement.copyFrom.shouldNotBeNull() shouldBe placement.decode
             }
             it("are read by another that copies the part, once the engine that keeps it has a long queue") {
                 val dispatcher = entry(1)
@@ -57,7 +57,7 @@
                 dispatcher.load(home, millis = 5_000)
                 val next = dispatcher.split(generation("part", 2))
                 next.prefill shouldNotBe home
-                next.fetch.shouldNotBeNull().source shouldBe home
+                next.copyFrom.shouldNotBeNull() shouldBe home
             }
             it("are generated elsewhere once the usual engine has many streams") {
                 val dispatcher = entry(1)
@@ -68,7 +68,7 @@
         }
         describe("a short shared part") {
             it("is read rather than copied") {
-                entry(1).split(generation("short", 1, sharedTokens = 350)).fetch.shouldBeNull()
+                entry(1).split(generation("short", 1, sharedTokens = 350)).copyFrom.shouldBeNull()
             }
         }
     })
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -55,7 +55,7 @@
      * @property priority its rank; 0 is the most urgent
      * @property step what is wanted of the upstream
      * @property resumeAfter the event after which the stream goes on, or null for the caller's own word
-     * @property fetchFrom the address of an upstream whose KV cache is to be copied first, or null
+     * @property copyFrom the address of an upstream whose KV cache is to be copied first, or null
      */
     public data class ForwardOrder(
         val upstream: UpstreamId,
@@ -63,7 +63,7 @@
         val priority: Int,
         val step: Step,
         val resumeAfter: String?,
-        val fetchFrom: String? = null,
+        val copyFrom: String? = null,
     )
 
     /** What is wanted of an upstream. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -56,7 +56,7 @@
         sent = UpstreamTry(context, request, upstream, Answers { sent })
         current = sent
         val head = context.dialect.forwarded(request.head, order)
-        sent.send(head, "whole", tokensToRead = 0, fetch = null, isFreshNeeded = !request.route.isRepeatable)
+        sent.send(head, "whole", tokensToRead = 0, copyFrom = null, isFreshNeeded = !request.route.isRepeatable)
         if (request.route.isRepeatable) context.later(patienceMillis()) { lostPatience(sent) }
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -2,7 +2,7 @@
 
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
-import marigoldward.core.dispatch.CacheFetch
+import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.UpstreamRecord
 import marigoldward.gateway.GatewayMetrics
 import marigoldward.support.log.EventLog
@@ -15,7 +15,7 @@
         request: SessionRequest,
         attempt: Attempt,
         step: String,
-        fetch: CacheFetch?,
+        copyFrom: ListedUpstream?,
         record: UpstreamRecord?,
         leftMillis: Long,
     ) {
@@ -25,7 +25,7 @@
             field("upstream", attempt.upstream)
             field("left_ms", leftMillis)
             field("tokens", attempt.tokensToRead)
-            field("copies_from", fetch?.source?.id)
+            field("copies_from", copyFrom?.id)
             field("own", record?.attempts?.size)
             field("reported", record?.report?.let { "${it.running}+${it.waiting}" })
             field("report_age_ms", record?.report?.let { attempt.startedMillis - record.reportMillis })
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -3,7 +3,6 @@
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
-import marigoldward.core.dispatch.CacheFetch
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.core.dispatch.GenerationRequest
 import marigoldward.core.dispatch.ListedUpstream
@@ -34,7 +33,7 @@
                 placement.upstream,
                 placement.tokensToRead,
                 Dialect.Step.Whole,
-                placement.fetch,
+                placement.copyFrom,
             )
             is Placement.Split -> readInTurn(placement)
             is Placement.None -> giveUp(placement)
@@ -103,31 +102,36 @@
         current = sent
         val head = context.dialect.forwarded(
             request.head,
-            order(placement.prefill, Dialect.Step.Prefill, placement.fetch),
+            order(placement.prefill, Dialect.Step.Prefill, placement.copyFrom),
         )
-        sent.send(head, "prefill", placement.tokensToRead, placement.fetch, isFreshNeeded = false)
+        sent.send(head, "prefill", placement.tokensToRead, placement.copyFrom, isFreshNeeded = false)
         watch(sent)
     }
 
-    private fun generate(upstream: ListedUpstream, tokensToRead: Int, step: Dialect.Step, fetch: CacheFetch? = null) {
+    private fun generate(
+        upstream: ListedUpstream,
+        tokensToRead: Int,
+        step: Dialect.Step,
+        copyFrom: ListedUpstream? = null,
+    ) {
         turn.leave()
         lateinit var sent: UpstreamTry
         sent = UpstreamTry(context, request, upstream, StreamAnswers { sent })
         current = sent
-        val head = context.dialect.forwarded(request.head, order(upstream, step, fetch))
+        val head = context.dialect.forwarded(request.head, order(upstream, step, copyFrom))
         val label = if (step is Dialect.Step.Decode) "decode" else "whole"
-        sent.send(head, label, tokensToRead, fetch, isFreshNeeded = !request.route.isRepeatable)
+        sent.send(head, label, tokensToRead, copyFrom, isFreshNeeded = !request.route.isRepeatable)
         if (request.route.isRepeatable) watch(sent)
     }
 
-    private fun order(upstream: ListedUpstream, step: Dialect.Step, fetch: CacheFetch?): Dialect.ForwardOrder =
+    private fun order(upstream: ListedUpstream, step: Dialect.Step, copyFrom: ListedUpstream?): Dialect.ForwardOrder =
         Dialect.ForwardOrder(
             upstream.id,
             leftMillis,
             request.route.priority,
             step,
             lastEventId,
-            fetch?.source?.address,
+            copyFrom?.address,
         )
 
     /** Goes elsewhere if nothing at all comes from the engine and it takes no connections: it is dead or cut off. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamTry.kt
@@ -2,7 +2,6 @@
 
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
-import marigoldward.core.dispatch.CacheFetch
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.AnswerHead
@@ -47,13 +46,13 @@
     /** How long ago it was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
-    /** Sends [head]; the upstream is expected to read [tokensToRead] tokens of the prompt after [fetch], if any. */
-    fun send(head: RequestHead, label: String, tokensToRead: Int, fetch: CacheFetch?, isFreshNeeded: Boolean) {
+    /** Sends [head]; the upstream has [tokensToRead] tokens to read, fewer if [copyFrom] keeps some of them. */
+    fun send(head: RequestHead, label: String, tokensToRead: Int, copyFrom: ListedUpstream?, isFreshNeeded: Boolean) {
         val nowMillis = context.nowMillis()
         val prompt = request.facts.prompt.takeIf { upstream.stage != null }
         attempt = context.dispatcher.started(upstream.id, prompt, tokensToRead, nowMillis)
         val leftMillis = request.deadlineMillis - nowMillis
-        SessionLog.sent(request, attempt, label, fetch, context.dispatcher.recordOrNull(upstream.id), leftMillis)
+        SessionLog.sent(request, attempt, label, copyFrom, context.dispatcher.recordOrNull(upstream.id), leftMillis)
         val next = UpstreamCall(upstream, head, request.body, request.id, isFreshNeeded, Answers())
         call = next
         context.pool.send(next)
--- a/support/src/main/kotlin/marigoldward/support/directory/DirectoryBook.kt
+++ b/support/src/main/kotlin/marigoldward/support/directory/DirectoryBook.kt
@@ -9,32 +9,30 @@
  * @param periodMillis how often it reads the list itself while it is on its own, in milliseconds
  */
 public class DirectoryBook(private val oldMillis: Long, private val periodMillis: Long) {
-    private var asOfMillis: Long? = null
     private var triedMillis = Long.MIN_VALUE / 2
 
-    /** The list, or null before the first. */
-    public var upstreams: List<ListedUpstream>? = null
+    /** The list and when it was known to hold, or null before the first. */
+    public var reading: DirectoryReading? = null
         private set
 
-    /** Returns the list and when it was known to hold, or null before the first. */
-    public fun readingOrNull(): DirectoryReading? = upstreams?.let { DirectoryReading(it, asOfMillis ?: return null) }
+    /** The list, or null before the first. */
+    public val upstreams: List<ListedUpstream>? get() = reading?.upstreams
 
     /** Returns how old the list is, in milliseconds, or null before the first. */
-    public fun ageMillisOrNull(nowMillis: Long): Long? = asOfMillis?.let { nowMillis - it }
+    public fun ageMillisOrNull(nowMillis: Long): Long? = reading?.let { nowMillis - it.readMillis }
 
     /** Takes [list], which was read at [readMillis], unless a newer one is here; returns whether it was taken. */
     public fun take(list: List<ListedUpstream>, readMillis: Long): Boolean {
-        val known = asOfMillis
-        if (known != null && readMillis < known) return false
-        asOfMillis = readMillis
-        upstreams = list
+        val known = reading
+        if (known != null && readMillis < known.readMillis) return false
+        reading = DirectoryReading(list, readMillis)
         return true
     }
 
     /** Notes that the list had not changed at [readMillis]. */
     public fun confirm(readMillis: Long) {
-        val known = asOfMillis ?: return
-        asOfMillis = maxOf(known, readMillis)
+        val known = reading ?: return
+        reading = known.copy(readMillis = maxOf(known.readMillis, readMillis))
     }
 
     /** Whether the process should read the list by itself at [nowMillis]; if so, it is taken to do that. */
