--- a/core/src/main/kotlin/marigoldward/core/dispatch/Prompt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Prompt.kt
@@ -18,8 +18,11 @@
     /** The key of the longest prefix that other requests may share, or null if there is none. */
     val sharedPrefixKey: Long? get() = if (parts.size < 2) null else prefixKeys[parts.size - 2]
 
+    /** The parts that other requests may share: all but the last. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+
     /** The number of tokens of the longest prefix that other requests may share. */
-    val sharedPrefixTokens: Int get() = parts.dropLast(1).sumOf { it.tokens }
+    val sharedPrefixTokens: Int get() = sharedParts.sumOf { it.tokens }
 
     private fun hash(id: String): Long = Hashing.komihash5_0().hashCharsToLong(id)
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -11,6 +11,9 @@
 internal object SessionLog {
     private val log = EventLog.fromName("session")
 
+    /** Ends that may be a crash of the upstream. */
+    private val LOST_UPSTREAM_ENDS = setOf(AttemptEnd.BROKEN, AttemptEnd.SILENT)
+
     fun sent(
         request: SessionRequest,
         attempt: Attempt,
@@ -42,6 +45,11 @@
             field("end", end.name.lowercase())
             field("reason", reason)
             field("took_ms", nowMillis - attempt.startedMillis)
+            if (end in
+                LOST_UPSTREAM_ENDS
+            ) {
+                field("parts", request.metadata.prompt?.sharedParts?.joinToString(",") { it.id })
+            }
         }
     }
 
