Keep requests that crash engine after engine from the engines

Cause: an entry judged each request by its own attempts only. Nothing that it knew of a crash outlived the request, and nothing of it reached another entry, so every new request with the same deadly part, and every repeat of a deadly request, was placed like any other. The class of fault is a missing failure correlation: state per request where the failure belongs to what requests have in common.

Change: each entry reports to the control instance that leads which fingerprints (shared prompt parts, and target with body) an upstream was answering when its connection was lost. The replicated state counts crashes one after the other: a crash counts only if the reporter knew of the one before it, so engines that fail together count once. Three quarantine the fingerprint; entries learn the counts with their feed, refuse such requests as not run (503, Retry-After 60 s) and do not repeat a request that lost an engine under a suspected fingerprint. A complete answer that began under suspicion, or one within 30 s before it, clears a part at once, also from quarantine, so parts that sound requests share stay usable. The state is in the log, so it survives restarts and loss of the leader; an older state than the last seen is ignored.

An entry that reports needs control instances of this build: upgrade control before the entries.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -1,5 +1,6 @@
 package marigoldward.control.cluster
 
+import marigoldward.control.feed.CrashReports
 import marigoldward.control.feed.EntryFeed
 import marigoldward.control.feed.SharedDirectory
 import marigoldward.control.peer.PeerLinks
@@ -11,6 +12,7 @@
 import marigoldward.control.stages.EngineControl
 import marigoldward.control.stages.StageDuty
 import marigoldward.control.storage.ReplicaStore
+import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlState
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.InstanceId
@@ -26,6 +28,7 @@
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 import marigoldward.support.time.TimerService
+import marigoldward.wire.control.SubmitReply
 import marigoldward.wire.peer.DirectoryUpdate
 import marigoldward.wire.peer.JoinReply
 import marigoldward.wire.peer.PeerEnvelope
@@ -42,7 +45,8 @@
 ) : AutoCloseable {
     private val cluster = settings.cluster
     private val timer = TimerService.start()
-    private val feed: EntryFeed = EntryFeed(settings.dataCentre) { replica.status }
+    private val crashReports: CrashReports = CrashReports(::submit) { replica.status }
+    private val feed: EntryFeed = EntryFeed(settings.dataCentre, crashReports) { replica.status }
     private val links = PeerLinks(settings.ip, cluster.identity, cluster::rpcAddressOrNull, PeerState())
     private val replica: ReplicaDuty =
         ReplicaDuty(
@@ -52,7 +56,7 @@
             ReplicaOutputs(),
             MembershipPlanner.forToleratedFailures(settings.lostInstances),
         )
-    private val replicaThread = Duty.start("replica", RING_EVENTS, replica::handle)
+    private val replicaThread: Duty<ReplicaDutyEvent> = Duty.start("replica", RING_EVENTS, replica::handle)
     private val directoryReader = DirectoryDuty(directorySource, ::onDirectoryRead)
     private val sharedDirectory = SharedDirectory(System.nanoTime())
     private val stages =
@@ -97,13 +101,20 @@
     }
 
     private fun startTimers() {
-        timer.subscribe(TICK_PERIOD_MILLIS) { replicaThread.offer(ReplicaDutyEvent.Tick) }
+        timer.subscribe(TICK_PERIOD_MILLIS) {
+            replicaThread.offer(ReplicaDutyEvent.Tick)
+            feed.sendCrashCounts()
+        }
         timer.subscribe(HEARTBEAT_PERIOD_MILLIS, feed::sendHeartbeats)
         timer.subscribe(DIRECTORY_CHECK_PERIOD_MILLIS, ::readDirectoryIfDue)
         timer.subscribe(STAGE_POLL_PERIOD_MILLIS, stages::poll)
         timer.subscribe(JOIN_PERIOD_MILLIS, ::announceIfNotMember)
     }
 
+    /** Submits [command] to the replica, or returns false if too many requests wait; [onReply] gets its outcome. */
+    private fun submit(command: ControlCommand, onReply: (SubmitReply) -> Unit): Boolean =
+        replicaThread.offer(ReplicaDutyEvent.Submit(command, onReply))
+
     private fun listedUpstreams(): List<ListedUpstream> = sharedDirectory.readingOrNull?.upstreams.orEmpty()
 
     private fun readDirectoryIfDue() {
@@ -162,6 +173,7 @@
 
         override fun onStateChanged(state: ControlState, index: Long) {
             state.routes?.let(feed::onRoutesChanged)
+            crashReports.onStateChanged(state)
         }
     }
 
--- a/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
@@ -12,6 +12,7 @@
 import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
+import marigoldward.wire.feed.CrashCounts
 import marigoldward.wire.feed.DirectorySnapshot
 import marigoldward.wire.feed.FeedRpc
 import marigoldward.wire.feed.FeedUpdate
@@ -22,20 +23,30 @@
  * Streams the route configuration in force and the list of upstreams to the entries that watch this instance: changes
  * at once, and heartbeats in between.
  *
+ * @param crashReports receives the entries' reports of crashed upstreams
  * @param status returns the status of this instance's replica
  */
-internal class EntryFeed(private val dataCentre: DataCentre, private val status: () -> PublishedStatus) {
+internal class EntryFeed(
+    private val dataCentre: DataCentre,
+    private val crashReports: CrashReports,
+    private val status: () -> PublishedStatus,
+) {
     private val lock = Any()
     private var watchers = emptyList<Watcher>()
     private var routes: RouteDocument? = null
     private var directory: DirectoryReading? = null
+    private var crashCounts: CrashCounts? = null
     private var remoteEntryCounts = emptyMap<InstanceId, EntryCount>()
 
     private data class EntryCount(val count: Int, val receivedMillis: Long)
 
     /** The service that entries call. */
     val service: ServerServiceDefinition =
-        ServiceBuilder.named(FeedRpc.SERVICE).serverStreaming(FeedRpc.WATCH, ::watch).build()
+        ServiceBuilder
+            .named(FeedRpc.SERVICE)
+            .serverStreaming(FeedRpc.WATCH, ::watch)
+            .unaryAsync(FeedRpc.REPORT_CRASHES, crashReports::report)
+            .build()
 
     /** Returns the number to send to the other replicas: the sum if this one leads, otherwise its own entries. */
     fun entryCountToShare(): Int = synchronized(lock) { if (status().isLeader) totalEntryCount() else watchers.size }
@@ -65,6 +76,15 @@
         }
     }
 
+    /** Sends the crash counts to all watchers if they have changed since the last call. */
+    fun sendCrashCounts() {
+        synchronized(lock) {
+            if (crashCounts?.version == crashReports.version) return
+            crashCounts = crashReports.crashCounts
+            watchers.forEach(::send)
+        }
+    }
+
     /** Sends a heartbeat to all watchers. */
     fun sendHeartbeats() {
         synchronized(lock) {
@@ -114,6 +134,7 @@
         }
         watcher.routesVersion = update.routes?.version ?: watcher.routesVersion
         if (update.directory != null) watcher.directory = directory?.upstreams
+        watcher.crashVersion = update.crashCounts?.version ?: watcher.crashVersion
     }
 
     private fun updateFor(watcher: Watcher): FeedUpdate {
@@ -128,6 +149,7 @@
             entryCount = totalEntryCount(),
             members = current.members,
             dataCentre = dataCentre,
+            crashCounts = crashCounts?.takeIf { it.version != watcher.crashVersion },
         )
     }
 
@@ -148,6 +170,7 @@
         var routesVersion: Long,
     ) {
         var directory: List<ListedUpstream>? = null
+        var crashVersion: Long? = null
     }
 
     private companion object {
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -105,7 +105,26 @@
         override val approximateBytes: Long get() = BASE_SIZE_BYTES + document.compressed.size
     }
 
+    /** Reports that [upstream] crashed while it was answering requests with the fingerprints of [suspects]. */
+    @Serializable
+    @SerialName("report-crash")
+    public data class ReportCrash(val upstream: UpstreamId, val suspects: List<CrashSuspect>) : ControlCommand {
+        override val approximateBytes: Long get() = BASE_SIZE_BYTES + suspects.size * SUSPECT_SIZE_BYTES
+    }
+
+    /**
+     * Clears [fingerprints] of suspicion and ends their quarantine: a request with each of them was answered completely,
+     * by an upstream that began to answer after the last crash under it was known.
+     */
+    @Serializable
+    @SerialName("clear-suspects")
+    public data class ClearSuspects(val fingerprints: List<Fingerprint>) : ControlCommand {
+        override val approximateBytes: Long get() = BASE_SIZE_BYTES + fingerprints.size * SUSPECT_SIZE_BYTES
+    }
+
     public companion object {
+        private const val SUSPECT_SIZE_BYTES = 32L
+
         /** The allowance for every field but the long texts and documents. */
         private const val BASE_SIZE_BYTES = 256L
     }
--- a/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
@@ -1,5 +1,6 @@
 package marigoldward.core.control
 
+import marigoldward.core.control.internal.CrashEvidence
 import marigoldward.core.control.internal.EngineRecords
 import marigoldward.core.control.internal.IdempotencyClaims
 import marigoldward.core.control.internal.LeaseGrants
@@ -22,5 +23,7 @@
         is ControlCommand.Quarantine -> Quarantines.add(state, command)
         is ControlCommand.StoreRoutes -> RouteDocuments.store(state, command)
         is ControlCommand.ReleaseQuarantine -> Quarantines.remove(state, command)
+        is ControlCommand.ReportCrash -> CrashEvidence.report(state, command)
+        is ControlCommand.ClearSuspects -> CrashEvidence.clear(state, command)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/control/Fingerprint.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/Fingerprint.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import kotlin.jvm.JvmInline
 
-/** The hash of a request's content. It does not depend on the caller. */
+/** The hash of a request's content, or of a part of its prompt. It does not depend on the caller. */
 @JvmInline
 @Serializable
 public value class Fingerprint private constructor(
--- a/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
@@ -7,7 +7,7 @@
 
 /** Quarantined fingerprints of requests that crash the upstreams that run them. */
 internal object Quarantines {
-    private const val MAX_QUARANTINED = 10_000
+    const val MAX_QUARANTINED = 10_000
 
     fun add(state: ControlState, command: ControlCommand.Quarantine): AppliedCommand {
         if (command.fingerprint in state.quarantine) return AppliedCommand(state, ControlOutcome.Done)
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -14,6 +14,8 @@
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.StatusServer
 import marigoldward.gateway.control.ControlFeed
+import marigoldward.gateway.control.CrashReporter
+import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
@@ -46,7 +48,8 @@
     private val random = Random(System.nanoTime())
     private val dispatcher = Dispatcher(settings.dataCentre, PlacementCosts.DEFAULT, random.nextLong())
     private val pool = UpstreamPool(loop, dialect)
-    private val context = SessionContext(loop, dialect, dispatcher, pool, ::newRetryBudget)
+    private val crashes = CrashSuspicions()
+    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget)
     private val gateway = Gateway(context, random)
     private val callerServer = CallerServer(loop, ::callerLimits, gateway::handle)
     private val readinessServer = StatusServer(loop, ::readinessPage)
@@ -54,6 +57,7 @@
     private val directoryBook = newDirectoryCache()
     private val feed =
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
+    private val crashReporter = CrashReporter(settings, crashes, ::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private val startedMillis = MonotonicClock.nowMillis()
     private var isShuttingDown = false
@@ -106,6 +110,7 @@
     }
 
     private fun start() {
+        crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
         readinessServer.start(settings.readinessListenAddress)
         metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort))
@@ -120,6 +125,10 @@
         loop.scheduleWithFixedDelay(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
+    private fun schedule(delayMillis: Long, action: () -> Unit) {
+        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
     private fun newRetryBudget(): RetryBudgetShare =
         RetryBudgetShare(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMillis)
 
@@ -128,6 +137,7 @@
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
         context.gatewayCount = maxOf(1, update.entryCount)
         update.routes?.let { considerConfiguration(it, isFresh) }
+        update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
         if (isFresh) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
         val ageMillis = update.directoryAgeMillis ?: return
         val readMillis = MonotonicClock.nowMillis() - ageMillis
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -34,6 +34,9 @@
     /** Whether the known control state is fresh, as defined by [FeedSource.isFresh]. */
     val isFresh: Boolean get() = source.isFresh(MonotonicClock.nowMillis())
 
+    /** The followed control instance, or null before the first. */
+    val current: InstanceId? get() = source.current
+
     /** Replaces the seed instances. */
     fun changeSeeds(seeds: List<InstanceId>) = source.changeSeeds(seeds)
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -17,6 +17,7 @@
     private class Response(val head: ResponseHead, val body: ByteArray)
 
     override fun startNextAttempt() {
+        if (endIfQuarantined()) return
         when (val placement = context.dispatcher.place(request.serviceName, triedUpstreams, context.nowMillis())) {
             is Placement.Single -> send(placement.upstream)
             is Placement.Split -> error("a plain service has no engines")
@@ -28,6 +29,11 @@
         currentAttempt?.cancel(AttemptEnd.CANCELLED, reason)
     }
 
+    override fun endQuarantined() {
+        val lastError = upstreamError
+        if (lastError == null) super.endQuarantined() else respond(lastError.head, lastError.body)
+    }
+
     override fun onTimeout() {
         cancelUpstreamWork("time over")
         val lastError = upstreamError
@@ -100,6 +106,7 @@
             when (val verdict = ResponseVerdict.of(head, metadata)) {
                 ResponseVerdict.Usable -> {
                     attempt().recordEnd(AttemptEnd.ANSWERED, "")
+                    recordAnswered(currentSuspects())
                     if (!hasEnded && currentAttempt === attempt()) respond(head, body)
                 }
                 ResponseVerdict.UpstreamError -> {
@@ -110,7 +117,10 @@
             }
         }
 
-        override fun onFailure(failure: UpstreamFailure) = onAttemptFailed(attempt(), failure.end, failure.reason)
+        override fun onFailure(failure: UpstreamFailure) {
+            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt().upstream.id)
+            onAttemptFailed(attempt(), failure.end, failure.reason)
+        }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -1,5 +1,6 @@
 package marigoldward.gateway.session
 
+import marigoldward.core.control.Fingerprint
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.AttemptHistory
 import marigoldward.core.dispatch.RetryRules
@@ -13,6 +14,7 @@
     protected var triedUpstreams: Set<UpstreamId> = emptySet()
         private set
     private var timing = ResponseTiming.NOT_STARTED
+    private var isRetryAllowed = true
     protected var hasEnded: Boolean = false
         private set
 
@@ -49,17 +51,50 @@
      * Returns whether the request may be sent again after an attempt that ended as [end]; takes the retry from the
      * budget if it is charged to it.
      */
-    protected fun acquireRetry(end: AttemptEnd): Boolean =
-        when (RetryRules.decide(request.route, history, end, remainingMillis)) {
+    protected fun acquireRetry(end: AttemptEnd): Boolean {
+        if (!isRetryAllowed) return false
+        return when (RetryRules.decide(request.route, history, end, remainingMillis)) {
             RetryRules.Decision.SEND_AGAIN -> true
             RetryRules.Decision.SEND_AGAIN_FROM_BUDGET -> takeFromRetryBudget()
             RetryRules.Decision.GIVE_UP -> false
         }
+    }
 
     /** Takes one retry from this gateway's share of the budget; returns false if none is left. */
     protected fun takeFromRetryBudget(): Boolean =
         context.retryBudget(request.serviceName).tryTake(context.gatewayCount, context.nowMillis())
 
+    /**
+     * Records that [upstream] may have crashed while it was answering the request. If that is not the first crash under
+     * one of its fingerprints, the request is not sent again, as it would probably crash the next upstream too.
+     */
+    protected fun recordCrash(upstream: UpstreamId) {
+        if (context.crashes.isUnclearedSuspect(request.fingerprints, context.nowMillis())) isRetryAllowed = false
+        context.crashes.recordCrash(upstream, request.fingerprints)
+    }
+
+    /** Returns the fingerprints of the request that are under suspicion now. */
+    protected fun currentSuspects(): List<Fingerprint> =
+        if (context.crashes.isEmpty) emptyList() else context.crashes.suspectsAmong(request.fingerprints)
+
+    /** Records a complete answer, which an upstream began while the fingerprints of [suspects] were under suspicion. */
+    protected fun recordAnswered(suspects: List<Fingerprint>) =
+        context.crashes.recordAnswered(request.partFingerprints, suspects, context.nowMillis())
+
+    /** Ends the request if it is quarantined, and returns whether it is. */
+    protected fun endIfQuarantined(): Boolean {
+        if (context.crashes.isEmpty) return false
+        val fingerprint = context.crashes.quarantinedOrNull(request.fingerprints) ?: return false
+        SessionLog.quarantined(request, fingerprint)
+        endQuarantined()
+        return true
+    }
+
+    /** Ends the request, which no upstream may get any more. */
+    protected open fun endQuarantined() = endWithoutResponse(
+        if (history.mayHaveRun) SessionEnd.Unknown(QUARANTINED) else SessionEnd.NotRun(QUARANTINED, QUARANTINE_MILLIS),
+    )
+
     /** Records that a part of the response is sent to the caller now. */
     protected fun recordPartSent() {
         timing = timing.withPartSent(context.nowMillis(), request.arrivedMillis)
@@ -100,7 +135,12 @@
         cancelUpstreamWork("caller left")
     }
 
-    private companion object {
-        val CONTENT_LENGTH = setOf("content-length")
+    protected companion object {
+        /** The outcome of a request that is quarantined. */
+        const val QUARANTINED: String = "quarantined"
+
+        /** The `Retry-After` of a quarantined request: longer than any caller waits for an answer. */
+        private const val QUARANTINE_MILLIS = 60_000L
+        private val CONTENT_LENGTH = setOf("content-length")
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -17,6 +17,7 @@
     val dialect: Dialect,
     val dispatcher: Dispatcher,
     val pool: UpstreamPool,
+    val crashes: CrashSuspicions,
     private val newRetryBudget: () -> RetryBudgetShare,
 ) {
     private val longPromptGates = HashMap<PoolName, LongPromptGate<LongPromptAdmission>>()
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -1,5 +1,6 @@
 package marigoldward.gateway.session
 
+import marigoldward.core.control.Fingerprint
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.ListedUpstream
@@ -53,6 +54,15 @@
         }
     }
 
+    fun quarantined(request: SessionRequest, fingerprint: Fingerprint) {
+        val part = request.metadata.prompt?.sharedParts?.firstOrNull { RequestFingerprints.of(it) == fingerprint }
+        log.info("quarantined") {
+            field("request", request.id)
+            field("fingerprint", fingerprint)
+            field("part", part?.id)
+        }
+    }
+
     fun ended(request: SessionRequest, outcome: String, status: Int?, timing: ResponseTiming, nowMillis: Long) {
         val totalMillis = nowMillis - request.arrivedMillis
         GatewayMetrics.recordRequestEnd(request.route, outcome, timing, totalMillis)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionRequest.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionRequest.kt
@@ -1,5 +1,6 @@
 package marigoldward.gateway.session
 
+import marigoldward.core.control.Fingerprint
 import marigoldward.core.model.PoolName
 import marigoldward.core.routes.Route
 import marigoldward.core.routes.ServiceDeclaration
@@ -25,4 +26,12 @@
     val body: ByteArray get() = exchange.request.body
     val arrivedMillis: Long get() = exchange.request.arrivedMillis
     val serviceName: PoolName get() = service.name
+
+    /** The fingerprints of the parts of the prompt that other requests may share. */
+    val partFingerprints: List<Fingerprint> by lazy {
+        metadata.prompt?.sharedParts.orEmpty().map(RequestFingerprints::of)
+    }
+
+    /** All fingerprints under which the request may be suspected of crashing upstreams. */
+    val fingerprints: List<Fingerprint> by lazy { partFingerprints + RequestFingerprints.of(head, body) }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -1,6 +1,7 @@
 package marigoldward.gateway.session
 
 import marigoldward.core.Outcome
+import marigoldward.core.control.Fingerprint
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.EngineStage
@@ -28,6 +29,7 @@
     private class HeldCache(val engine: ListedUpstream, val handle: String)
 
     override fun startNextAttempt() {
+        if (endIfQuarantined()) return
         when (val placement = place()) {
             is Placement.Single -> startGeneration(
                 placement.upstream,
@@ -46,6 +48,12 @@
         releaseHeldCache()
     }
 
+    override fun endQuarantined() {
+        admission.release()
+        releaseHeldCache()
+        if (hasResponseBegun) abortResponse(QUARANTINED) else super.endQuarantined()
+    }
+
     override fun onTimeout() {
         cancelUpstreamWork("time over")
         if (hasResponseBegun) abortResponse("timed_out") else endWithoutResponse(SessionEnd.TimedOut)
@@ -163,6 +171,7 @@
         if (attempt.upstream.stage == EngineStage.PREFILL) {
             onPrefillFailed(attempt, AttemptEnd.SILENT, "silent")
         } else {
+            recordCrash(attempt.upstream.id)
             onAttemptFailed(attempt, AttemptEnd.SILENT, "silent")
         }
     }
@@ -188,6 +197,8 @@
         if (!acquireRetry(end)) {
             releaseHeldCache()
             endOrAbort(reason)
+        } else if (endIfQuarantined()) {
+            return
         } else if (end !in CACHE_NOT_TAKEN || !tryStartDecode()) {
             releaseHeldCache()
             startNextAttempt()
@@ -252,6 +263,7 @@
                 return
             }
             heldCache = HeldCache(placement.prefill, handle)
+            if (endIfQuarantined()) return
             if (!tryStartDecode()) {
                 endOrAbort("no_decoder")
                 releaseHeldCache()
@@ -263,6 +275,9 @@
         private val splitter = EventSplitter()
         private var isStream = false
 
+        /** The fingerprints of the request that were under suspicion at the first event, or null before it. */
+        private var suspectsAtFirstEvent: List<Fingerprint>? = null
+
         private val isCurrent: Boolean get() = !hasEnded && currentAttempt === attempt()
 
         override fun onHead(head: ResponseHead, metadata: Dialect.ResponseMetadata) {
@@ -286,11 +301,15 @@
             }
         }
 
-        override fun onFailure(failure: UpstreamFailure) = onAttemptFailed(attempt(), failure.end, failure.reason)
+        override fun onFailure(failure: UpstreamFailure) {
+            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt().upstream.id)
+            onAttemptFailed(attempt(), failure.end, failure.reason)
+        }
 
         /** Forwards [event] to the caller, unless the caller received it from an earlier engine. */
         private fun forward(event: EventSplitter.Event) {
             if (!isCurrent || isDelivered(event)) return
+            if (suspectsAtFirstEvent == null) suspectsAtFirstEvent = currentSuspects()
             attempt().recordPromptReady()
             beginResponse()
             recordPartSent()
@@ -313,6 +332,7 @@
 
         private fun onStreamEnded() {
             attempt().recordEnd(AttemptEnd.ANSWERED, "")
+            suspectsAtFirstEvent?.let(::recordAnswered)
             beginResponse()
             recordOutcome("answered", head.status)
             request.exchange.endResponse()
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -14,6 +14,7 @@
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.Http1Encoder
 import marigoldward.gateway.message.ResponseHead
+import java.io.IOException
 
 /**
  * One connection to an upstream, which carries one call at a time. Confined to the event loop thread.
@@ -73,12 +74,13 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail("the connection closed")
+        fail(UpstreamFailure.ConnectionLost("the connection closed"))
         onClosed(this)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(cause.message ?: cause.javaClass.simpleName)
+        val reason = cause.message ?: cause.javaClass.simpleName
+        fail(if (cause is IOException) UpstreamFailure.ConnectionLost(reason) else UpstreamFailure.Broken(reason))
         channel.close()
     }
 
@@ -89,7 +91,7 @@
             return
         }
         if (message.decoderResult().isFailure) {
-            fail("not an answer: ${message.decoderResult().cause().message}")
+            fail(UpstreamFailure.Broken("not an answer: ${message.decoderResult().cause().message}"))
             channel.close()
             return
         }
@@ -130,10 +132,10 @@
         current.listener.onEnd()
     }
 
-    private fun fail(reason: String) {
+    private fun fail(failure: UpstreamFailure) {
         val current = call ?: return
         call = null
-        current.listener.onFailure(UpstreamFailure.Broken(reason))
+        current.listener.onFailure(failure)
     }
 
     private fun keepAliveMillisOrNull(headers: Headers): Long? = headers
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamFailure.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamFailure.kt
@@ -15,7 +15,12 @@
         override val end: AttemptEnd get() = AttemptEnd.UNREACHABLE
     }
 
-    /** The request was sent, and the connection was closed early or the response was malformed. */
+    /** The request was sent, and the connection was lost before the end of the response: the upstream may have crashed. */
+    data class ConnectionLost(override val reason: String) : UpstreamFailure {
+        override val end: AttemptEnd get() = AttemptEnd.BROKEN
+    }
+
+    /** The request was sent, and the response was malformed. */
     data class Broken(override val reason: String) : UpstreamFailure {
         override val end: AttemptEnd get() = AttemptEnd.BROKEN
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -18,6 +18,7 @@
 import marigoldward.core.routes.ServiceDeclaration
 import marigoldward.core.routes.ServiceShare
 import marigoldward.gateway.caller.CallerServer
+import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
@@ -44,7 +45,9 @@
     private val loop = group.next()
     private val dispatcher = Dispatcher(DATA_CENTRE, PlacementCosts.DEFAULT, 1)
     private val pool = UpstreamPool(loop, TestDialect)
-    private val context = SessionContext(loop, TestDialect, dispatcher, pool) { RetryBudgetShare(0.2, 64, 10_000) }
+    val crashSuspicions = CrashSuspicions()
+    private val context =
+        SessionContext(loop, TestDialect, dispatcher, pool, crashSuspicions) { RetryBudgetShare(0.2, 64, 10_000) }
     private val gateway = Gateway(context, Random(1))
     val server = CallerServer(loop, { limits }, gateway::handle)
     val port: Int get() = server.port
@@ -58,6 +61,9 @@
 
     fun caller(): RawCaller = RawCaller(port)
 
+    /** Runs [action] on the event loop thread and returns its result. */
+    fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
+
     override fun close() {
         group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS).sync()
     }
--- a/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
@@ -16,6 +16,7 @@
  * @property entryCount the number of entries that watch the control instances
  * @property members the control instances that are members of the cluster
  * @property dataCentre the data centre of the sender
+ * @property crashCounts the crashes under suspected requests, or null if they have not changed since the last update
  */
 @Serializable
 public data class FeedUpdate(
@@ -26,4 +27,5 @@
     @SerialName("entries") val entryCount: Int,
     val members: List<InstanceId>,
     val dataCentre: DataCentre,
+    val crashCounts: CrashCounts? = null,
 )
