Quarantine only what crashed requests have in common

A shared part that few requests use is not answered often enough to be cleared in time, and once quarantined it is never answered again. Change: a crash report keeps apart which fingerprints belonged to one request. A quarantine holds for requests that have all fingerprints that the crashes have in common; an answer removes a fingerprint from what they have in common; and a fingerprint whose crashes a more likely one explains is not quarantined. The set narrows with each crash and answer.

--- a/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
@@ -34,14 +34,17 @@
     val crashCounts: CrashCounts
         get() {
             val current = state
-            return CrashCounts(
-                current.quarantineVersion,
-                current.crashCounts.map {
-                    CrashCounts.Entry(it.key, it.value)
-                },
-            )
+            val fingerprints = current.suspects.keys + current.quarantine.keys
+            return CrashCounts(current.quarantineVersion, fingerprints.map { entry(current, it) })
         }
 
+    private fun entry(state: ControlState, fingerprint: Fingerprint): CrashCounts.Entry {
+        val suspicion = state.suspects[fingerprint]
+        val refused = suspicion?.common ?: setOf(fingerprint)
+        val quarantined = CrashCounts.Quarantined(refused.toList()).takeIf { fingerprint in state.quarantine }
+        return CrashCounts.Entry(fingerprint, suspicion?.crashes?.size ?: 0, quarantined)
+    }
+
     /** Records the newest applied state, and logs which fingerprints were quarantined or released by it. */
     fun onStateChanged(newState: ControlState) {
         val before = state
@@ -50,6 +53,7 @@
         (newState.quarantine.keys - before.quarantine.keys).forEach { fingerprint ->
             log.warn("request_quarantined") {
                 field("fingerprint", fingerprint)
+                field("common", newState.suspects[fingerprint]?.common?.joinToString(","))
                 field("reason", newState.quarantine[fingerprint])
             }
         }
@@ -73,7 +77,7 @@
     }
 
     private fun newCommands(report: CrashReport): List<ControlCommand> {
-        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.suspects) }
+        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests) }
         val cleared = report.answered.filter(::isSuspected)
         val clearing = if (cleared.isEmpty()) emptyList() else listOf(ControlCommand.ClearSuspects(cleared))
         val snapshot = state
@@ -86,8 +90,7 @@
     private fun logReport(report: CrashReport, commands: Int) {
         log.info("crashes_reported") {
             field("upstreams", report.crashes.joinToString(",") { it.upstream.text })
-            field("suspects", report.crashes.sumOf { it.suspects.size })
-            field("most_known_crashes", report.crashes.flatMap { it.suspects }.maxOfOrNull { it.knownCrashes })
+            field("requests", report.crashes.sumOf { it.requests.size })
             field("answered", report.answered.size)
             field("commands", commands)
         }
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -105,11 +105,12 @@
         override val approximateBytes: Long get() = BASE_SIZE_BYTES + document.compressed.size
     }
 
-    /** Reports that [upstream] crashed while it was answering requests with the fingerprints of [suspects]. */
+    /** Reports that [upstream] crashed while it was answering [requests]. */
     @Serializable
     @SerialName("report-crash")
-    public data class ReportCrash(val upstream: UpstreamId, val suspects: List<CrashSuspect>) : ControlCommand {
-        override val approximateBytes: Long get() = BASE_SIZE_BYTES + suspects.size * SUSPECT_SIZE_BYTES
+    public data class ReportCrash(val upstream: UpstreamId, val requests: List<LostRequest>) : ControlCommand {
+        override val approximateBytes: Long
+            get() = BASE_SIZE_BYTES + requests.sumOf { it.suspects.size } * SUSPECT_SIZE_BYTES
     }
 
     /**
--- a/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
@@ -20,7 +20,7 @@
  * @property quarantine the fingerprints of refused requests with the reasons, oldest first
  * @property quarantineVersion increases by one with each change of [quarantine] or [suspects]
  * @property routes the stored route configuration with the highest version, or null before the first
- * @property suspects the fingerprints of requests under which upstreams have crashed, but too few for a quarantine
+ * @property suspects the fingerprints of requests that upstreams were answering when they crashed, oldest first
  */
 @Serializable
 public data class ControlState(
@@ -36,11 +36,6 @@
     val routes: RouteDocument? = null,
     val suspects: StateMap<Fingerprint, Suspicion> = persistentMapOf(),
 ) {
-    /** The number of crashes under each suspected or quarantined fingerprint. */
-    val crashCounts: Map<Fingerprint, Int>
-        get() = quarantine.mapValues { Suspicion.QUARANTINE_CRASHES } +
-            suspects.mapValues { it.value.crashedUpstreams.size }
-
     public companion object {
         /** The state before the first command. */
         public val EMPTY: ControlState =
--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -1,66 +1,125 @@
 package marigoldward.core.control.internal
 
-import kotlinx.collections.immutable.PersistentMap
 import marigoldward.core.control.AppliedCommand
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlOutcome
 import marigoldward.core.control.ControlState
-import marigoldward.core.control.CrashSuspect
 import marigoldward.core.control.Fingerprint
+import marigoldward.core.control.LostRequest
 import marigoldward.core.control.Suspicion
 import marigoldward.core.model.UpstreamId
 
 /**
  * Finds out which requests crash upstreams.
  *
- * Every request that an upstream was answering when it crashed is a suspect. A fingerprint is quarantined once
- * [Suspicion.QUARANTINE_CRASHES] upstreams have crashed under it one after the other, each of them after the crash
- * before it was known to the reporter, and no request with it was answered in between. So upstreams that fail together
- * count once, and a fingerprint that other requests share is cleared by their answers.
+ * Every request that an upstream was answering when it crashed is a suspect. Crashes under a fingerprint count if they
+ * come one after the other, each of them after the crash before it was known to the reporter, and no request with the
+ * fingerprint was answered in between. So upstreams that fail together count once.
+ *
+ * From [Suspicion.QUARANTINE_CRASHES] crashes on, a fingerprint is quarantined if it explains a crash that no more
+ * likely one explains. Fingerprints that were lost together in each crash cannot be told apart: the
+ * quarantine holds only for requests that have all of them, until an answer to a request with some of them shows that
+ * these are harmless.
  */
 internal object CrashEvidence {
     private const val MAX_SUSPECTS = 256
 
+    /** Further crashes under a fingerprint are recorded up to this number. */
+    private const val MAX_CRASHES = 8
+    private const val MAX_FINGERPRINTS_PER_CRASH = 16
+    private val MOST_LIKELY_CAUSE: Comparator<Map.Entry<Fingerprint, Suspicion>> =
+        compareByDescending<Map.Entry<Fingerprint, Suspicion>> { it.value.crashes.size }
+            .thenByDescending { it.value.common.size }
+            .thenBy { entry -> entry.value.crashes.sumOf { it.fingerprints.size } }
+
     fun report(state: ControlState, command: ControlCommand.ReportCrash): AppliedCommand {
-        val reported = command.suspects.fold(state) { current, suspect -> add(current, command.upstream, suspect) }
-        return AppliedCommand(withNewVersion(state, reported), ControlOutcome.Done)
+        val reported = command.requests.fold(state) { current, request -> add(current, command.upstream, request) }
+        if (reported === state) return AppliedCommand(state, ControlOutcome.Done)
+        return AppliedCommand(withNewVersion(withQuarantines(reported)), ControlOutcome.Done)
     }
 
-    /** Removes the fingerprints from the suspects and from the quarantine. */
+    /** Ends the suspicions and the quarantine of the fingerprints, which did not cause any of the crashes. */
     fun clear(state: ControlState, command: ControlCommand.ClearSuspects): AppliedCommand {
-        val cleared = command.fingerprints.fold(state) { current, fingerprint ->
-            if (fingerprint !in current.suspects && fingerprint !in current.quarantine) {
-                current
-            } else {
-                current.copy(
-                    suspects = current.suspects.remove(fingerprint),
-                    quarantine = current.quarantine.remove(fingerprint),
-                )
-            }
+        val cleared = command.fingerprints.fold(state, ::withoutFingerprint)
+        if (cleared === state) return AppliedCommand(state, ControlOutcome.Done)
+        return AppliedCommand(withNewVersion(withQuarantines(cleared)), ControlOutcome.Done)
+    }
+
+    private fun withoutFingerprint(state: ControlState, fingerprint: Fingerprint): ControlState {
+        if (fingerprint !in state.suspects && fingerprint !in state.quarantine) return state
+        val involved = state.suspects.filter { (_, suspicion) ->
+            suspicion.crashes.any { fingerprint in it.fingerprints }
+        }
+        val changed = involved.mapValues { (_, suspicion) ->
+            Suspicion(suspicion.crashes.map { it.copy(fingerprints = it.fingerprints - fingerprint) })
+        }
+        return state.copy(
+            suspects = state.suspects.putAll(changed).remove(fingerprint),
+            quarantine = state.quarantine.remove(fingerprint),
+        )
+    }
+
+    private fun add(state: ControlState, upstream: UpstreamId, request: LostRequest): ControlState {
+        val fingerprints = request.suspects.map { it.fingerprint }
+        return request.suspects.fold(state) { current, suspect ->
+            val before = current.suspects[suspect.fingerprint]
+            val after = withCrash(before, upstream, fingerprints, suspect.knownCrashes)
+            if (after == before) current else withSuspicion(current, suspect.fingerprint, after)
         }
-        return AppliedCommand(withNewVersion(state, cleared), ControlOutcome.Done)
     }
 
-    private fun add(state: ControlState, upstream: UpstreamId, suspect: CrashSuspect): ControlState {
-        val fingerprint = suspect.fingerprint
-        val crashed = state.suspects[fingerprint]?.crashedUpstreams.orEmpty()
-        val isConcurrent = suspect.knownCrashes < crashed.size
-        if (fingerprint in state.quarantine || isConcurrent || upstream in crashed) return state
-        val suspicion = Suspicion(crashed + upstream)
-        if (suspicion.crashedUpstreams.size < Suspicion.QUARANTINE_CRASHES) {
-            return state.copy(suspects = withoutSurplus(state.suspects.put(fingerprint, suspicion)))
+    private fun withCrash(
+        before: Suspicion?,
+        upstream: UpstreamId,
+        fingerprints: List<Fingerprint>,
+        knownCrashes: Int,
+    ): Suspicion {
+        val crashes = before?.crashes.orEmpty()
+        val isKnownCrash = crashes.any { it.upstream == upstream }
+        return when {
+            isKnownCrash -> Suspicion(crashes.map { if (it.upstream == upstream) withLost(it, fingerprints) else it })
+            knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> Suspicion(crashes)
+            else -> Suspicion(crashes + Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH)))
         }
-        val reason = "${suspicion.crashedUpstreams.joinToString(", ")} crashed one after the other while answering"
-        val quarantine = withoutOldest(state.quarantine.put(fingerprint, reason), Quarantines.MAX_QUARANTINED)
-        return state.copy(suspects = state.suspects.remove(fingerprint), quarantine = quarantine)
     }
 
+    private fun withLost(crash: Suspicion.Crash, fingerprints: List<Fingerprint>): Suspicion.Crash {
+        val all = (crash.fingerprints + fingerprints).distinct()
+        return crash.copy(fingerprints = all.take(MAX_FINGERPRINTS_PER_CRASH))
+    }
+
+    private fun withSuspicion(state: ControlState, fingerprint: Fingerprint, suspicion: Suspicion): ControlState =
+        withoutSurplus(state.copy(suspects = state.suspects.put(fingerprint, suspicion)))
+
     /** Removes the oldest of the suspects with the fewest crashes if there are too many. */
-    private fun withoutSurplus(suspects: PersistentMap<Fingerprint, Suspicion>): PersistentMap<Fingerprint, Suspicion> {
-        if (suspects.size <= MAX_SUSPECTS) return suspects
-        return suspects.remove(suspects.entries.minBy { it.value.crashedUpstreams.size }.key)
+    private fun withoutSurplus(state: ControlState): ControlState {
+        if (state.suspects.size <= MAX_SUSPECTS) return state
+        val surplus = state.suspects.entries.minBy { it.value.crashes.size }.key
+        return state.copy(suspects = state.suspects.remove(surplus), quarantine = state.quarantine.remove(surplus))
     }
 
-    private fun withNewVersion(before: ControlState, after: ControlState): ControlState =
-        if (after === before) before else after.copy(quarantineVersion = before.quarantineVersion + 1)
+    /**
+     * Quarantines the suspects that explain the crashes: those with the most crashes first, of these the ones whose
+     * quarantine holds for the fewest requests, and of these the ones that the fewest others were lost together with.
+     * A suspect whose crashes are all explained by earlier ones is not, or no longer, quarantined.
+     */
+    private fun withQuarantines(state: ControlState): ControlState {
+        val explained = HashSet<UpstreamId>()
+        val due = state.suspects.entries
+            .filter { it.value.crashes.size >= Suspicion.QUARANTINE_CRASHES }
+            .sortedWith(MOST_LIKELY_CAUSE)
+            .filter { (_, suspicion) -> explained.addAll(suspicion.crashes.map { it.upstream }) }
+        val reasons = due.associate { it.key to reason(it.value) }
+        val explainedSuspects = state.quarantine.keys.filter { it in state.suspects && it !in reasons }
+        val kept = explainedSuspects.fold(state.quarantine) { quarantine, fingerprint ->
+            quarantine.remove(fingerprint)
+        }
+        return state.copy(quarantine = withoutOldest(kept.putAll(reasons), Quarantines.MAX_QUARANTINED))
+    }
+
+    private fun reason(suspicion: Suspicion): String =
+        suspicion.crashes.joinToString(", ") { it.upstream.text } + " crashed one after the other while answering"
+
+    private fun withNewVersion(state: ControlState): ControlState =
+        state.copy(quarantineVersion = state.quarantineVersion + 1)
 }
--- a/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
@@ -20,8 +20,12 @@
         if (command.fingerprint !in state.quarantine) {
             return AppliedCommand(state, ControlOutcome.Rejected("\"${command.fingerprint}\" is not quarantined"))
         }
-        val quarantine = state.quarantine.remove(command.fingerprint)
-        val version = state.quarantineVersion + 1
-        return AppliedCommand(state.copy(quarantine = quarantine, quarantineVersion = version), ControlOutcome.Done)
+        val released =
+            state.copy(
+                quarantine = state.quarantine.remove(command.fingerprint),
+                quarantineVersion = state.quarantineVersion + 1,
+                suspects = state.suspects.remove(command.fingerprint),
+            )
+        return AppliedCommand(released, ControlOutcome.Done)
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/CrashReporter.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/CrashReporter.kt
@@ -74,7 +74,7 @@
         log.info("crashes_reported") {
             field("control", connection?.instance)
             field("upstreams", report.crashes.joinToString(",") { it.upstream.text })
-            field("suspects", report.crashes.sumOf { it.suspects.size })
+            field("requests", report.crashes.sumOf { it.requests.size })
             field("answered", report.answered.size)
         }
         requestReport()
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
@@ -1,8 +1,7 @@
 package marigoldward.gateway.session
 
-import marigoldward.core.control.CrashSuspect
 import marigoldward.core.control.Fingerprint
-import marigoldward.core.control.Suspicion
+import marigoldward.core.control.LostRequest
 import marigoldward.core.model.UpstreamId
 import marigoldward.wire.feed.CrashCounts
 import marigoldward.wire.feed.CrashReport
@@ -18,11 +17,11 @@
  */
 internal class CrashSuspicions {
     private var version = -1L
-    private var crashCounts: Map<Fingerprint, Int> = emptyMap()
+    private var crashCounts: Map<Fingerprint, CrashCounts.Entry> = emptyMap()
     private val lastAnsweredMillis = object : LinkedHashMap<Fingerprint, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: Map.Entry<Fingerprint, Long>): Boolean = size > MAX_ANSWERED_PARTS
     }
-    private val pendingCrashes = LinkedHashMap<UpstreamId, MutableMap<Fingerprint, Int>>()
+    private val pendingCrashes = LinkedHashMap<UpstreamId, MutableSet<LostRequest>>()
     private val pendingAnswered = LinkedHashSet<Fingerprint>()
 
     /** Called when there is something to report. */
@@ -31,9 +30,11 @@
     /** Whether no request is under suspicion. */
     val isEmpty: Boolean get() = crashCounts.isEmpty()
 
-    /** Returns the first of [fingerprints] that is quarantined, or null. */
-    fun quarantinedOrNull(fingerprints: List<Fingerprint>): Fingerprint? =
-        fingerprints.firstOrNull { crashesOf(it) >= Suspicion.QUARANTINE_CRASHES }
+    /** Returns the first of a request's [fingerprints] for which the request is quarantined, or null. */
+    fun quarantinedOrNull(fingerprints: List<Fingerprint>): Fingerprint? = fingerprints.firstOrNull { fingerprint ->
+        val quarantined = crashCounts[fingerprint]?.quarantined
+        quarantined != null && fingerprints.containsAll(quarantined.fingerprints)
+    }
 
     /** Returns those of [fingerprints] that are under suspicion. */
     fun suspectsAmong(fingerprints: List<Fingerprint>): List<Fingerprint> = fingerprints.filter { it in crashCounts }
@@ -44,8 +45,9 @@
 
     /** Records that [upstream] crashed while it was answering a request with [fingerprints]. */
     fun recordCrash(upstream: UpstreamId, fingerprints: List<Fingerprint>) {
-        val suspects = pendingCrashes.getOrPut(upstream) { LinkedHashMap() }
-        fingerprints.forEach { if (suspects.size < MAX_SUSPECTS_PER_CRASH) suspects.putIfAbsent(it, crashesOf(it)) }
+        val requests = pendingCrashes.getOrPut(upstream) { LinkedHashSet() }
+        val lost = LostRequest(fingerprints.map { LostRequest.Suspect(it, crashCounts[it]?.crashes ?: 0) })
+        if (requests.size < MAX_REQUESTS_PER_CRASH) requests.add(lost)
         if (pendingCrashes.size > MAX_PENDING_CRASHES) pendingCrashes.remove(pendingCrashes.keys.first())
         onReportDue()
     }
@@ -66,7 +68,7 @@
     fun update(update: CrashCounts, nowMillis: Long) {
         if (update.version <= version) return
         version = update.version
-        crashCounts = update.counts.associate { it.fingerprint to it.crashes }
+        crashCounts = update.counts.associateBy { it.fingerprint }
         val recentlyAnswered = crashCounts.keys.filter { isRecentlyAnswered(it, nowMillis) }
         if (recentlyAnswered.isEmpty()) return
         pendingAnswered.addAll(recentlyAnswered)
@@ -76,9 +78,7 @@
     /** Returns what is to be reported and forgets it, or returns null if there is nothing. */
     fun takeReportOrNull(): CrashReport? {
         if (pendingCrashes.isEmpty() && pendingAnswered.isEmpty()) return null
-        val crashes = pendingCrashes.map { (upstream, suspects) ->
-            CrashReport.UpstreamCrash(upstream, suspects.map { CrashSuspect(it.key, it.value) })
-        }
+        val crashes = pendingCrashes.map { (upstream, lost) -> CrashReport.UpstreamCrash(upstream, lost.toList()) }
         val report = CrashReport(crashes, pendingAnswered.toList())
         pendingCrashes.clear()
         pendingAnswered.clear()
@@ -87,10 +87,7 @@
 
     /** Takes back [report], which could not be delivered. */
     fun restore(report: CrashReport) {
-        report.crashes.forEach { crash ->
-            val suspects = pendingCrashes.getOrPut(crash.upstream) { LinkedHashMap() }
-            crash.suspects.forEach { suspects[it.fingerprint] = it.knownCrashes }
-        }
+        report.crashes.forEach { pendingCrashes.getOrPut(it.upstream) { LinkedHashSet() }.addAll(it.requests) }
         pendingAnswered.addAll(report.answered.filter { it in crashCounts })
     }
 
@@ -99,14 +96,12 @@
         return nowMillis - answeredMillis < MAX_ANSWER_AGE_MILLIS
     }
 
-    private fun crashesOf(fingerprint: Fingerprint): Int = crashCounts[fingerprint] ?: 0
-
     private companion object {
         const val INITIAL_CAPACITY = 64
         const val LOAD_FACTOR = 0.75f
         const val MAX_ANSWERED_PARTS = 4_096
         const val MAX_PENDING_CRASHES = 64
-        const val MAX_SUSPECTS_PER_CRASH = 128
+        const val MAX_REQUESTS_PER_CRASH = 64
 
         /**
          * How long an answer clears the parts of its prompt. A part that starts to crash engines later, as with new
--- a/wire/src/main/kotlin/marigoldward/wire/feed/CrashReport.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/CrashReport.kt
@@ -1,8 +1,8 @@
 package marigoldward.wire.feed
 
 import kotlinx.serialization.Serializable
-import marigoldward.core.control.CrashSuspect
 import marigoldward.core.control.Fingerprint
+import marigoldward.core.control.LostRequest
 import marigoldward.core.model.UpstreamId
 
 /**
@@ -13,7 +13,7 @@
  */
 @Serializable
 public data class CrashReport(val crashes: List<UpstreamCrash>, val answered: List<Fingerprint>) {
-    /** The crash of [upstream] while it was answering requests with the fingerprints of [suspects]. */
+    /** The crash of [upstream] while it was answering [requests]. */
     @Serializable
-    public data class UpstreamCrash(val upstream: UpstreamId, val suspects: List<CrashSuspect>)
+    public data class UpstreamCrash(val upstream: UpstreamId, val requests: List<LostRequest>)
 }
