Limit what an upstream's answer may take of memory

An upstream that sends bytes without end could end an entry or a control instance by its memory limit, and with it all requests of that process; the caller waited until the deadline. Cause: bodies, events of streams, answers to other requests and interim answers were kept or skipped without a limit; only heads had one. The other HTTP clients (engine status, directory, the entry's and the controller's) read bodies whole. Change: 4 MiB a body, 1 MiB an event, 16 skipped answers or 4 MiB of them for a request; beyond that the attempt ends as broken and the connection is closed. Response.boundedText and boundedBytes for the other clients.

--- a/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerializationException
 import marigoldward.core.serving.UpstreamInfo
+import marigoldward.support.http.boundedText
 import marigoldward.support.platform.PlatformListing
 import marigoldward.support.settings.toText
 import okhttp3.OkHttpClient
@@ -20,7 +21,7 @@
     fun read(): List<UpstreamInfo> {
         try {
             client.newCall(request).execute().use { response ->
-                lastRead = PlatformListing.parse(response.body?.string().orEmpty())
+                lastRead = PlatformListing.parse(response.boundedText())
             }
         } catch (_: IOException) {
             return lastRead
--- a/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.control.CommandIntent
 import marigoldward.core.control.EngineCommand
 import marigoldward.core.model.EngineRole
+import marigoldward.support.http.boundedText
 import okhttp3.ConnectionPool
 import okhttp3.Interceptor
 import okhttp3.MediaType.Companion.toMediaType
@@ -58,7 +59,7 @@
     fun stateOrNull(address: String): ReportedEngineState? = try {
         val request = Request.Builder().url("http://$address/engine/state").build()
         stateClient.newCall(request).execute().use { response ->
-            val text = response.body?.string().orEmpty()
+            val text = response.boundedText()
             toReportedState(json.decodeFromString(EngineStateMessage.serializer(), text))
         }
     } catch (_: IOException) {
@@ -73,7 +74,7 @@
         val request =
             Request.Builder().url("http://$address/engine/commands").post(body.toRequestBody(JSON_MEDIA_TYPE)).build()
         commandClient.newCall(request).execute().use { response ->
-            val text = response.body?.string().orEmpty()
+            val text = response.boundedText()
             toSendResult(json.decodeFromString(EngineCommandAnswer.serializer(), text))
         }
     } catch (_: IOException) {
--- a/entry/src/main/kotlin/marigoldward/entry/platform/UpstreamListPoller.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/platform/UpstreamListPoller.kt
@@ -4,6 +4,7 @@
 import marigoldward.entry.serving.ServingLoop
 import marigoldward.entry.serving.ServingLoopEvent
 import marigoldward.entry.upstream.UpstreamClients
+import marigoldward.support.http.boundedText
 import marigoldward.support.log.EventLog
 import marigoldward.support.platform.PlatformListing
 import marigoldward.support.settings.toText
@@ -23,7 +24,7 @@
     fun poll() {
         try {
             clients.forPolling().newCall(request).execute().use { response ->
-                val text = response.body?.string().orEmpty()
+                val text = response.boundedText()
                 if (!response.isSuccessful) throw IOException("status ${response.code}")
                 servingLoop.put(ServingLoopEvent.UpstreamsListed(PlatformListing.parse(text)))
             }
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/CrashDetector.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/CrashDetector.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import marigoldward.core.serving.UpstreamInfo
+import marigoldward.support.http.boundedText
 import java.io.IOException
 import java.net.ConnectException
 
@@ -29,7 +30,7 @@
     private fun isDownOrRestarted(upstream: UpstreamInfo, lastKnown: String?): Boolean = try {
         val request = UpstreamClients.get(upstream.address, "/engine/state")
         clients.forPolling().newCall(request).execute().use { response ->
-            val text = response.body?.string().orEmpty()
+            val text = response.boundedText()
             val current = json.decodeFromString(EngineStateMessage.serializer(), text).incarnation
             lastKnown != null && lastKnown != current
         }
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineAnswer.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineAnswer.kt
@@ -41,7 +41,7 @@
         while (true) {
             val line =
                 try {
-                    source.readUtf8Line()
+                    if (source.exhausted()) null else source.readUtf8LineStrict(MAX_LINE_BYTES)
                 } catch (failure: IOException) {
                     return Part.Broken(failure.message ?: failure.javaClass.simpleName)
                 }
@@ -88,6 +88,7 @@
     private companion object {
         const val DATA_PREFIX = "data: "
         const val DONE = "[DONE]"
+        const val MAX_LINE_BYTES = 1024L * 1024
         val json = Json { ignoreUnknownKeys = true }
     }
 }
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
@@ -7,6 +7,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.model.RequestId
 import marigoldward.core.serving.UpstreamInfo
+import marigoldward.support.http.boundedText
 import okhttp3.Call
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
@@ -100,7 +101,7 @@
     ): Outcome<T, AttemptFailure> {
         if (response.isSuccessful) return readSuccess(call, response)
         return response.use {
-            val body = it.body?.string().orEmpty()
+            val body = it.boundedText()
             val failure = when {
                 it.header("X-Not-Run") == "true" -> AttemptFailure.NotRun(body.trim(), isUpstreamFault = false)
                 it.code >= MIN_SERVER_ERROR_STATUS -> AttemptFailure.Broken("status ${it.code}", isCrash = false)
@@ -121,7 +122,7 @@
     }
 
     private fun readKvHandle(response: Response, id: RequestId): Outcome<String, AttemptFailure> = try {
-        val message = json.decodeFromString(PrefillMessage.serializer(), response.body?.string().orEmpty())
+        val message = json.decodeFromString(PrefillMessage.serializer(), response.boundedText())
         if (message.id == id.text) {
             Outcome.Success(message.kvHandle)
         } else {
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EnginePoller.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EnginePoller.kt
@@ -10,6 +10,7 @@
 import marigoldward.core.serving.ServingEvent
 import marigoldward.core.serving.UpstreamInfo
 import marigoldward.entry.serving.ServingLoop
+import marigoldward.support.http.boundedText
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.Response
@@ -91,7 +92,7 @@
             override fun onResponse(call: Call, response: Response) {
                 onEnd()
                 try {
-                    val text = response.use { it.body?.string().orEmpty() }
+                    val text = response.use { it.boundedText() }
                     if (response.isSuccessful) onText(text) else onFailure()
                 } catch (_: IOException) {
                     onFailure()
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
@@ -3,6 +3,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.model.RequestId
 import marigoldward.core.serving.UpstreamInfo
+import marigoldward.support.http.boundedBytes
 import okhttp3.Headers
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.Request
@@ -58,7 +59,7 @@
                 if (answeredId != null && answeredId != call.id.text) {
                     return Outcome.Failure(AttemptFailure.Broken("the answer is for $answeredId", isCrash = false))
                 }
-                Outcome.Success(ServiceAnswer(response.code, response.headers, response.body?.bytes() ?: ByteArray(0)))
+                Outcome.Success(ServiceAnswer(response.code, response.headers, response.boundedBytes()))
             }
         } catch (failure: IOException) {
             Outcome.Failure(toAttemptFailure(service, transmission, failure))
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/EventSplitter.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/EventSplitter.kt
@@ -1,5 +1,7 @@
 package marigoldward.gateway.session
 
+import io.netty.handler.codec.TooLongFrameException
+import marigoldward.gateway.upstream.ResponseLimits
 import java.io.ByteArrayOutputStream
 
 /** Splits the bytes of an event stream into complete events. */
@@ -13,9 +15,16 @@
     /** Whether the bytes fed so far end inside an event. */
     val hasIncompleteEvent: Boolean get() = pending.size() > 0
 
-    /** Returns the events that [data] completes. */
+    /**
+     * Returns the events that [data] completes.
+     *
+     * @throws TooLongFrameException if an event is longer than [ResponseLimits.MAX_EVENT_BYTES]
+     */
     fun feed(data: ByteArray): List<Event> {
         val events = ArrayList<Event>()
+        if (pending.size() > ResponseLimits.MAX_EVENT_BYTES) {
+            throw TooLongFrameException("an event is longer than ${ResponseLimits.MAX_EVENT_BYTES} bytes")
+        }
         data.forEach { byte ->
             pending.write(byte.toInt())
             when (byte) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/ResponseCollector.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/ResponseCollector.kt
@@ -1,7 +1,9 @@
 package marigoldward.gateway.session
 
+import io.netty.handler.codec.TooLongFrameException
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.ResponseHead
+import marigoldward.gateway.upstream.ResponseLimits
 import java.io.ByteArrayOutputStream
 
 /** Collects the head and the body of an upstream's response. */
@@ -20,5 +22,11 @@
         this.metadata = metadata
     }
 
-    override fun onData(data: ByteArray) = receivedBody.writeBytes(data)
+    /** @throws TooLongFrameException if the body is longer than [ResponseLimits.MAX_BODY_BYTES] */
+    override fun onData(data: ByteArray) {
+        if (receivedBody.size() + data.size > ResponseLimits.MAX_BODY_BYTES) {
+            throw TooLongFrameException("the body is longer than ${ResponseLimits.MAX_BODY_BYTES} bytes")
+        }
+        receivedBody.writeBytes(data)
+    }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -33,6 +34,8 @@
     private var isReusable = true
     private var isSkippingResponse = false
     private var hasResponseHead = false
+    private var skippedResponses = 0
+    private var skippedBytes = 0L
 
     /** When the connection last became idle, in milliseconds of monotonic time. */
     var idleSinceMillis: Long = 0
@@ -50,6 +53,8 @@
         isRequestWritten = false
         isSkippingResponse = false
         hasResponseHead = false
+        skippedResponses = 0
+        skippedBytes = 0
         isReusable = true
         next.attachTo(this)
         decoder.isHeadRequest = next.head.method == "HEAD"
@@ -103,7 +108,11 @@
         val head = ResponseHead(response.status().code(), Headers(response.headers().map { Header(it.key, it.value) }))
         val requestId = dialect.readResponse(head).requestId
         isSkippingResponse = head.status in INFORMATIONAL_STATUSES || isForOtherRequest(requestId, current)
-        if (isSkippingResponse) return
+        if (isSkippingResponse) {
+            skippedResponses++
+            checkSkipped()
+            return
+        }
         hasResponseHead = true
         keepAliveMillis = keepAliveMillisOrNull(head.headers) ?: keepAliveMillis
         val isFramed = head.headers.has("Content-Length") || head.headers.has("Transfer-Encoding")
@@ -115,7 +124,10 @@
         requestId != null && current.expectedRequestId != null && requestId != current.expectedRequestId
 
     private fun onContent(current: UpstreamCall, content: HttpContent) {
-        if (!isSkippingResponse && content.content().isReadable) {
+        if (isSkippingResponse) {
+            skippedBytes += content.content().readableBytes()
+            checkSkipped()
+        } else if (content.content().isReadable) {
             current.listener.onData(ByteBufUtil.getBytes(content.content()))
         }
         if (content !is LastHttpContent || call !== current) return
@@ -126,6 +138,13 @@
         }
     }
 
+    /** @throws TooLongFrameException if the upstream has sent too much that is no answer to the request */
+    private fun checkSkipped() {
+        if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+            throw TooLongFrameException("$skippedResponses answers to other requests, $skippedBytes bytes")
+        }
+    }
+
     private fun finish(current: UpstreamCall) {
         call = null
         if (isReusable && isRequestWritten && channel.isActive) onIdle(this) else channel.close()
@@ -147,5 +166,9 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
         val INFORMATIONAL_STATUSES = 100..199
+
+        /** Interim answers and late ones to other requests; a sound upstream sends a few. */
+        const val MAX_SKIPPED_RESPONSES = 16
+        const val MAX_SKIPPED_BYTES = ResponseLimits.MAX_BODY_BYTES.toLong()
     }
 }
