Reset the connection of a caller of HTTP/1.0 when its answer breaks off

A caller of HTTP/1.0 got the first events of a broken stream as a complete answer. Cause: without chunks the end of the connection is the end of the answer, and an aborted answer ended with the same orderly close as a complete one. Evidence: StreamingTest, "that breaks off resets the connection of a caller of HTTP/1.0", failed (no reset was seen). Change: abort closes such a connection with a reset. New tests, which passed before too: answers without a length or chunks that end after an event, inside an event, or with a reset.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -232,6 +232,8 @@
         override fun abort() {
             if (!isCurrent) return
             current = null
+            // The end of the connection is the end of the response before HTTP/1.1, so only a reset tells them apart.
+            if (received.isBeforeHttp11) (context.channel() as SocketChannel).config().setSoLinger(0)
             context.close()
         }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -29,6 +29,9 @@
         return readChunked(status, head)
     }
 
+    /** Returns everything until the peer closes the connection; throws a `SocketException` if it resets it. */
+    fun readToEnd(): String = String(input.readAllBytes(), Charsets.ISO_8859_1)
+
     /** Whether the peer has closed the connection. */
     fun isClosed(): Boolean = runCatching { input.read() < 0 }.getOrDefault(true)
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/StreamingTest.kt
@@ -1,15 +1,18 @@
 package marigoldward.gateway.session
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.gateway.FakeUpstream
 import marigoldward.gateway.RawCaller
 import marigoldward.gateway.TestGateway
 import marigoldward.gateway.firstThenOthers
+import java.net.SocketException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicInteger
@@ -24,6 +27,9 @@
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 )
 
+private fun FakeUpstream.Call.beginUnframedStream() =
+    write("HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\n\r\n")
+
 private fun FakeUpstream.Call.chunk(text: String) = write("${Integer.toHexString(text.length)}\r\n$text\r\n")
 
 private fun FakeUpstream.Call.stream(vararg ids: Int) {
@@ -88,6 +94,66 @@
                     response.body shouldNotContain "id: 2"
                 }
             }
+            it("without a length or chunks is complete if its engine closes the connection after an event") {
+                withEngines(
+                    EngineStage.DECODE to { call ->
+                        call.beginUnframedStream()
+                        call.write(event(1) + event(2))
+                        call.socket.close()
+                    },
+                ) { caller, _ ->
+                    caller.send(streamRequest("/s/x"))
+                    val response = caller.readResponse().shouldNotBeNull()
+                    response.body shouldBe events(1, 2)
+                    response.isComplete shouldBe true
+                }
+            }
+            listOf<Pair<String, (FakeUpstream.Call) -> Unit>>(
+                "inside an event" to { call ->
+                    call.write(event(1) + "id: 2\nda")
+                    call.socket.close()
+                },
+                "with a reset" to { call ->
+                    call.write(event(1))
+                    Thread.sleep(50)
+                    call.reset()
+                },
+            ).forEach { (name, breakOff) ->
+                it("without a length or chunks is left incomplete if it ends $name") {
+                    withEngines(
+                        EngineStage.DECODE to { call ->
+                            call.beginUnframedStream()
+                            breakOff(call)
+                        },
+                    ) { caller, _ ->
+                        caller.send(streamRequest("/s/x"))
+                        val response = caller.readResponse().shouldNotBeNull()
+                        response.body shouldBe events(1)
+                        response.isComplete shouldBe false
+                    }
+                }
+            }
+            // Guards against an answer that broke off reaching a caller, for whom its end is the end of the connection,
+            // as a complete one.
+            it("that breaks off resets the connection of a caller of HTTP/1.0") {
+                withEngines(
+                    EngineStage.DECODE to { call ->
+                        call.beginStream()
+                        call.chunk(event(1))
+                        Thread.sleep(50)
+                        call.reset()
+                    },
+                ) { caller, _ ->
+                    caller.send(streamRequest("/s/x").replace("HTTP/1.1", "HTTP/1.0"))
+                    shouldThrow<SocketException> { caller.readToEnd() }
+                }
+            }
+            it("that is complete ends with the connection of a caller of HTTP/1.0") {
+                withEngines(EngineStage.DECODE to { it.stream(1) }) { caller, _ ->
+                    caller.send(streamRequest("/s/x").replace("HTTP/1.1", "HTTP/1.0"))
+                    caller.readToEnd() shouldEndWith events(1)
+                }
+            }
             it("is resumed on another engine after the last event if its route allows that") {
                 val script = firstThenOthers(
                     { call ->
