End a quarantine for a trial

A fingerprint that was quarantined by mistake, or whose upstreams were mended, was refused until an operator released it: no request with it can show that it is sound. Change: after 10 minutes the leader puts it on trial, where one more crash quarantines it again for twice as long (at most 21 hours) and one answer clears it. The time is the leader's own and starts anew with each leader.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -107,7 +107,10 @@
         }
         timer.subscribe(HEARTBEAT_PERIOD_MILLIS, feed::sendHeartbeats)
         timer.subscribe(DIRECTORY_CHECK_PERIOD_MILLIS, ::readDirectoryIfDue)
-        timer.subscribe(STAGE_POLL_PERIOD_MILLIS, stages::poll)
+        timer.subscribe(STAGE_POLL_PERIOD_MILLIS) {
+            stages.poll()
+            crashReports.startDueTrials(MonotonicClock.nowMillis())
+        }
         timer.subscribe(JOIN_PERIOD_MILLIS, ::announceIfNotMember)
     }
 
--- a/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
@@ -24,6 +24,8 @@
     private val submit: (ControlCommand, (SubmitReply) -> Unit) -> Boolean,
     private val status: () -> PublishedStatus,
 ) {
+    private val quarantineTimer = QuarantineTimer()
+
     @Volatile
     private var state = ControlState.EMPTY
 
@@ -62,6 +64,16 @@
         }
     }
 
+    /** Starts the trial of each fingerprint whose quarantine is over, if this instance leads. Called by one thread. */
+    fun startDueTrials(nowMillis: Long) {
+        quarantineTimer.due(state, status().isLeader, nowMillis).forEach { fingerprint ->
+            log.info("quarantine_on_trial") { field("fingerprint", fingerprint) }
+            submit(ControlCommand.RetryQuarantined(fingerprint)) { reply ->
+                if (reply !is SubmitReply.Committed) log.info("trial_not_started") { field("outcome", reply) }
+            }
+        }
+    }
+
     /** Submits what [report] adds to the state, and replies once all of it is committed or one part has failed. */
     fun report(report: CrashReport, observer: StreamObserver<CrashReportReply>) {
         val current = status()
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -123,6 +123,11 @@
         override val approximateBytes: Long get() = BASE_SIZE_BYTES + fingerprints.size * SUSPECT_SIZE_BYTES
     }
 
+    /** Ends the quarantine of [fingerprint] for a trial: one more crash under it starts the quarantine anew. */
+    @Serializable
+    @SerialName("retry-quarantined")
+    public data class RetryQuarantined(val fingerprint: Fingerprint) : ControlCommand
+
     public companion object {
         private const val SUSPECT_SIZE_BYTES = 32L
 
--- a/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
@@ -25,5 +25,6 @@
         is ControlCommand.ReleaseQuarantine -> Quarantines.remove(state, command)
         is ControlCommand.ReportCrash -> CrashEvidence.report(state, command)
         is ControlCommand.ClearSuspects -> CrashEvidence.clear(state, command)
+        is ControlCommand.RetryQuarantined -> CrashEvidence.retry(state, command)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
@@ -7,9 +7,10 @@
  * The crashes under one fingerprint, one after the other, since a request with it was last answered completely.
  *
  * @property crashes the crashes in the order in which they were reported, at least one
+ * @property trials how often a quarantine has ended so that the next request could show whether it is justified
  */
 @Serializable
-public data class Suspicion(val crashes: List<Crash>) {
+public data class Suspicion(val crashes: List<Crash>, val trials: Int = 0) {
     /**
      * The crash of [upstream].
      *
@@ -22,8 +23,14 @@
     public val common: Set<Fingerprint>
         get() = crashes.map { it.fingerprints.toSet() }.reduce { common, fingerprints -> common intersect fingerprints }
 
+    /** How long the quarantine lasts, in milliseconds; twice as long after each trial. */
+    public val quarantineMillis: Long get() = FIRST_QUARANTINE_MILLIS shl minOf(trials, MAX_DOUBLINGS)
+
     /** Limits of suspicions. */
     public companion object {
+        private const val FIRST_QUARANTINE_MILLIS = 600_000L
+        private const val MAX_DOUBLINGS = 7
+
         /** The number of crashes from which on a fingerprint may be quarantined. */
         public const val QUARANTINE_CRASHES: Int = 3
     }
--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -45,13 +45,33 @@
         return AppliedCommand(withNewVersion(withQuarantines(cleared)), ControlOutcome.Done)
     }
 
+    /** Forgets the oldest crashes, so that the next one leads to a quarantine, and the suspects that they explain. */
+    fun retry(state: ControlState, command: ControlCommand.RetryQuarantined): AppliedCommand {
+        val fingerprint = command.fingerprint
+        val suspicion = state.suspects[fingerprint]
+        if (suspicion == null || fingerprint !in state.quarantine) return AppliedCommand(state, ControlOutcome.Done)
+        val upstreams = suspicion.crashes.map { it.upstream }
+        val explained = state.suspects.filterValues { other -> other.crashes.all { it.upstream in upstreams } }.keys
+        val onTrial =
+            suspicion.copy(
+                crashes = suspicion.crashes.takeLast(Suspicion.QUARANTINE_CRASHES - 1),
+                trials = suspicion.trials + 1,
+            )
+        val remaining = explained.fold(state.suspects) { suspects, other -> suspects.remove(other) }
+        val retried = state.copy(
+            suspects = remaining.put(fingerprint, onTrial),
+            quarantine = state.quarantine.remove(fingerprint),
+        )
+        return AppliedCommand(withNewVersion(retried), ControlOutcome.Done)
+    }
+
     private fun withoutFingerprint(state: ControlState, fingerprint: Fingerprint): ControlState {
         if (fingerprint !in state.suspects && fingerprint !in state.quarantine) return state
         val involved = state.suspects.filter { (_, suspicion) ->
             suspicion.crashes.any { fingerprint in it.fingerprints }
         }
         val changed = involved.mapValues { (_, suspicion) ->
-            Suspicion(suspicion.crashes.map { it.copy(fingerprints = it.fingerprints - fingerprint) })
+            suspicion.copy(crashes = suspicion.crashes.map { it.copy(fingerprints = it.fingerprints - fingerprint) })
         }
         return state.copy(
             suspects = state.suspects.putAll(changed).remove(fingerprint),
@@ -74,12 +94,15 @@
         fingerprints: List<Fingerprint>,
         knownCrashes: Int,
     ): Suspicion {
-        val crashes = before?.crashes.orEmpty()
+        val crash = Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH))
+        if (before == null) return Suspicion(listOf(crash))
+        val crashes = before.crashes
         val isKnownCrash = crashes.any { it.upstream == upstream }
         return when {
-            isKnownCrash -> Suspicion(crashes.map { if (it.upstream == upstream) withLost(it, fingerprints) else it })
-            knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> Suspicion(crashes)
-            else -> Suspicion(crashes + Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH)))
+            isKnownCrash ->
+                before.copy(crashes = crashes.map { if (it.upstream == upstream) withLost(it, fingerprints) else it })
+            knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> before
+            else -> before.copy(crashes = crashes + crash)
         }
     }
 
--- a/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
@@ -30,6 +30,8 @@
 
     fun clear(fingerprint: Fingerprint) = apply(ControlCommand.ClearSuspects(listOf(fingerprint)))
 
+    fun retryQuarantined() = state.quarantine.keys.forEach { apply(ControlCommand.RetryQuarantined(it)) }
+
     fun release(fingerprint: Fingerprint) = apply(ControlCommand.ReleaseQuarantine(fingerprint))
 
     /** Whether a request with [fingerprints] is refused. */
@@ -125,6 +127,27 @@
                 log.isRefused(listOf(SHARED, DEADLY)) shouldBe true
             }
         }
+        describe("a trial after a quarantine") {
+            it("ends with the next crash, and the next quarantine lasts twice as long") {
+                val log = EvidenceLog()
+                repeat(4) { log.reportInformed("u-$it", listOf(SHARED, DEADLY)) }
+                val before = log.state.suspects.getValue(log.state.quarantine.keys.single())
+                log.retryQuarantined()
+                log.isRefused(listOf(SHARED, DEADLY)) shouldBe false
+                log.reportInformed("v", listOf(SHARED, DEADLY))
+                log.isRefused(listOf(SHARED, DEADLY)) shouldBe true
+                val after = log.state.suspects.getValue(log.state.quarantine.keys.single())
+                after.quarantineMillis shouldBe 2 * before.quarantineMillis
+            }
+            it("ends the suspicion if the next request is answered") {
+                val log = EvidenceLog()
+                repeat(3) { log.reportInformed("u-$it", listOf(SHARED)) }
+                log.retryQuarantined()
+                log.clear(SHARED)
+                log.state.suspects.isEmpty() shouldBe true
+                log.state.quarantine.isEmpty() shouldBe true
+            }
+        }
         describe("many suspects") {
             it("push out the oldest of those with the fewest crashes") {
                 val log = EvidenceLog()
