Count the crashes under equal requests of the OpenAI entry, not only under one

A deadly request that may have one attempt only was never quarantined by the OpenAI entry, however often callers sent it again: each resend crashed one more engine. The crash count belonged to one request; a resend started with none. Evidence: ServingTest, "are quarantined at the second crash also if each crash is that of another equal request", failed. Change: the serving state counts crashes by fingerprint; a request starts with the count of its fingerprint, so a second crash counts only if its request arrived after the first, and an answer ends the count.

--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -7,6 +7,7 @@
 import marigoldward.core.control.Fingerprint
 import marigoldward.core.control.LostRequest
 import marigoldward.core.control.Suspicion
+import marigoldward.core.internal.withoutOldest
 import marigoldward.core.model.UpstreamId
 
 /**
--- a/core/src/main/kotlin/marigoldward/core/control/internal/OperatorChanges.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/OperatorChanges.kt
@@ -1,12 +1,12 @@
 package marigoldward.core.control.internal
 
-import kotlinx.collections.immutable.PersistentMap
 import marigoldward.core.control.AppliedCommand
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlOutcome
 import marigoldward.core.control.ControlState
 import marigoldward.core.control.EngineRecord
 import marigoldward.core.control.OperationId
+import marigoldward.core.internal.withoutOldest
 import marigoldward.core.model.Revision
 
 /** Changes by operators. A change that is sent again is not applied again and gets its first outcome. */
@@ -48,9 +48,3 @@
         return AppliedCommand(state.copy(operations = withoutOldest(operations, MAX_OPERATIONS)), outcome)
     }
 }
-
-/** Returns [map] with only its newest [maxSize] entries. */
-internal fun <K, V> withoutOldest(map: PersistentMap<K, V>, maxSize: Int): PersistentMap<K, V> {
-    val surplus = map.keys.take(maxOf(0, map.size - maxSize))
-    return surplus.fold(map) { remaining, key -> remaining.remove(key) }
-}
--- a/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/Quarantines.kt
@@ -4,6 +4,7 @@
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlOutcome
 import marigoldward.core.control.ControlState
+import marigoldward.core.internal.withoutOldest
 
 /** Quarantined fingerprints of requests that crash the upstreams that run them. */
 internal object Quarantines {
--- a/core/src/main/kotlin/marigoldward/core/serving/PendingWork.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/PendingWork.kt
@@ -6,7 +6,7 @@
  * @property attempt the number of the next attempt, from 1
  * @property deliveredTokens the number of tokens already delivered to the caller
  * @property mayHaveRun whether an earlier attempt may have reached an upstream
- * @property crashCount how many upstreams crashed while they ran the request
+ * @property crashCount how many upstreams crashed one after the other while they ran the request or equal ones
  * @property notBeforeMillis the earliest time of the next attempt, in milliseconds of monotonic time
  */
 public data class PendingWork(
@@ -18,7 +18,7 @@
     val notBeforeMillis: Long,
 ) {
     /**
-     * Whether an upstream crashed while it ran this request.
+     * Whether an upstream crashed while it ran this request or an equal one.
      *
      * Suspects are kept on separate upstreams, so that another crash can be attributed to a single request.
      */
@@ -26,13 +26,16 @@
 
     /** Creates the work of new requests. */
     public companion object {
-        /** Returns the first attempt of the request [spec], which may be sent at once. */
-        public fun fromArrival(spec: RequestSpec): PendingWork = PendingWork(
+        /**
+         * Returns the first attempt of the request [spec], which may be sent at once; [crashCount] upstreams crashed
+         * while they ran equal requests.
+         */
+        public fun fromArrival(spec: RequestSpec, crashCount: Int): PendingWork = PendingWork(
             spec = spec,
             attempt = 1,
             deliveredTokens = 0,
             mayHaveRun = false,
-            crashCount = 0,
+            crashCount = crashCount,
             notBeforeMillis = spec.arrivedMillis,
         )
     }
--- a/core/src/main/kotlin/marigoldward/core/serving/ServingState.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/ServingState.kt
@@ -21,6 +21,8 @@
  * @property answeringUpstreams the upstream that answers each attempt in flight
  * @property waitingByCaller the number of waiting requests of each caller; callers without any are absent
  * @property quarantine the fingerprints of requests that are refused because they crash upstreams
+ * @property crashCounts how many upstreams crashed one after the other while they ran requests with a fingerprint, since
+ *   one was last answered; fingerprints without crashes are absent
  * @property setAside the engines that get no requests because their state is unknown
  * @property entries all live entry processes, this one included
  * @property randomState the state of the pseudo-random generator for routing and retry jitter
@@ -35,6 +37,7 @@
     val waitingByCaller: PersistentMap<CallerId, Int>,
     val retryBudgets: PersistentMap<ClassName, RetryBudget>,
     val quarantine: PersistentSet<Fingerprint>,
+    val crashCounts: PersistentMap<Fingerprint, Int>,
     val setAside: PersistentSet<UpstreamId>,
     val entries: List<InstanceId>,
     val isShuttingDown: Boolean,
@@ -82,6 +85,7 @@
             waitingByCaller = persistentMapOf(),
             retryBudgets = persistentMapOf(),
             quarantine = persistentSetOf(),
+            crashCounts = persistentMapOf(),
             setAside = persistentSetOf(),
             entries = listOf(self),
             isShuttingDown = false,
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Admission.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Admission.kt
@@ -24,7 +24,13 @@
         val refusal = refusalOrNull(state, spec, nowMillis)
         if (refusal != null) return state.withActions(ServingAction.Refuse(spec.id, refusal, mayHaveRun = false))
         val percent = state.configuration.limits.retryBudgetPercent
-        val admitted = Queues.add(recordTopClassArrival(state, spec, nowMillis), PendingWork.fromArrival(spec))
+        val admitted = Queues.add(
+            recordTopClassArrival(state, spec, nowMillis),
+            PendingWork.fromArrival(
+                spec,
+                state.crashCounts[spec.fingerprint] ?: 0,
+            ),
+        )
         return Retries.addToBudget(admitted, spec, percent).withoutActions()
     }
 
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Attempts.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Attempts.kt
@@ -1,5 +1,7 @@
 package marigoldward.core.serving.internal
 
+import marigoldward.core.control.Fingerprint
+import marigoldward.core.internal.withoutOldest
 import marigoldward.core.model.RequestId
 import marigoldward.core.model.UpstreamId
 import marigoldward.core.serving.AttemptResult
@@ -19,6 +21,7 @@
 /** Starts and ends attempts, and keeps track of the load that they put on upstreams. */
 internal object Attempts {
     private const val CRASHES_TO_QUARANTINE = 2
+    private const val MAX_CRASH_COUNTS = 1_000
 
     /** Returns the state with [attempt] in flight and its load added to its upstreams. */
     fun start(state: ServingState, attempt: InFlightAttempt): ServingState {
@@ -47,7 +50,10 @@
         val released = removeAttempt(state, attempt)
         val answeringUpstream = attempt.route.answeringUpstream
         return when (val result = event.result) {
-            AttemptResult.Done -> Health.recordSuccess(released, answeringUpstream).withoutActions()
+            AttemptResult.Done ->
+                Health
+                    .recordSuccess(withoutCrashes(released, attempt.work.spec.fingerprint), answeringUpstream)
+                    .withoutActions()
             AttemptResult.Abandoned -> released.withoutActions()
             is AttemptResult.NotRun -> onNotRun(released, attempt, result, nowMillis)
             is AttemptResult.Broken -> onBroken(released, attempt, result, nowMillis)
@@ -79,10 +85,19 @@
                 crashCount = crashCount,
                 deliveredTokens = maxOf(attempt.work.deliveredTokens, result.deliveredTokens),
             )
-        if (crashCount >= CRASHES_TO_QUARANTINE) return quarantine(withFailure, work)
-        return Retries.retryOrRefuse(withFailure, work, nowMillis)
+        val counted = if (result.isCrash) withCrashes(withFailure, work) else withFailure
+        if (crashCount >= CRASHES_TO_QUARANTINE) return quarantine(counted, work)
+        return Retries.retryOrRefuse(counted, work, nowMillis)
     }
 
+    private fun withCrashes(state: ServingState, work: PendingWork): ServingState {
+        val counts = state.crashCounts.put(work.spec.fingerprint, work.crashCount)
+        return state.copy(crashCounts = withoutOldest(counts, MAX_CRASH_COUNTS))
+    }
+
+    private fun withoutCrashes(state: ServingState, fingerprint: Fingerprint): ServingState =
+        if (fingerprint in state.crashCounts) state.copy(crashCounts = state.crashCounts.remove(fingerprint)) else state
+
     private fun quarantine(state: ServingState, work: PendingWork): ServingStep {
         val fingerprint = work.spec.fingerprint
         val reason = "request ${work.spec.id} was running on ${work.crashCount} upstreams when they crashed"
