--- a/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
@@ -40,13 +40,6 @@
             return CrashCounts(current.quarantineVersion, fingerprints.map { entry(current, it) })
         }
 
-    private fun entry(state: ControlState, fingerprint: Fingerprint): CrashCounts.Entry {
-        val suspicion = state.suspects[fingerprint]
-        val refused = suspicion?.common ?: setOf(fingerprint)
-        val quarantined = CrashCounts.Quarantined(refused.toList()).takeIf { fingerprint in state.quarantine }
-        return CrashCounts.Entry(fingerprint, suspicion?.crashes?.size ?: 0, quarantined)
-    }
-
     /** Records the newest applied state, and logs which fingerprints were quarantined or released by it. */
     fun onStateChanged(newState: ControlState) {
         val before = state
@@ -88,6 +81,13 @@
         }
     }
 
+    private fun entry(state: ControlState, fingerprint: Fingerprint): CrashCounts.Entry {
+        val suspicion = state.suspects[fingerprint]
+        val refused = suspicion?.common ?: setOf(fingerprint)
+        val quarantined = CrashCounts.Quarantined(refused.toList()).takeIf { fingerprint in state.quarantine }
+        return CrashCounts.Entry(fingerprint, suspicion?.crashes?.size ?: 0, quarantined)
+    }
+
     private fun newCommands(report: CrashReport): List<ControlCommand> {
         val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests) }
         val cleared = report.answered.filter(::isSuspected)
--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -18,9 +18,9 @@
  * fingerprint was answered in between. So upstreams that fail together count once.
  *
  * From [Suspicion.QUARANTINE_CRASHES] crashes on, a fingerprint is quarantined if it explains a crash that no more
- * likely one explains. Fingerprints that were lost together in each crash cannot be told apart: the
- * quarantine holds only for requests that have all of them, until an answer to a request with some of them shows that
- * these are harmless.
+ * likely one explains. Fingerprints that were lost together in each crash cannot be told apart: the quarantine holds
+ * only for requests that have all of them, until an answer to a request with some of them shows that these are
+ * harmless.
  */
 internal object CrashEvidence {
     private const val MAX_SUSPECTS = 256
@@ -132,7 +132,10 @@
         val due = state.suspects.entries
             .filter { it.value.crashes.size >= Suspicion.QUARANTINE_CRASHES }
             .sortedWith(MOST_LIKELY_CAUSE)
-            .filter { (_, suspicion) -> explained.addAll(suspicion.crashes.map { it.upstream }) }
+            .filter { (_, suspicion) ->
+                val hasUnexplainedCrash = explained.addAll(suspicion.crashes.map { it.upstream })
+                hasUnexplainedCrash
+            }
         val reasons = due.associate { it.key to reason(it.value) }
         val explainedSuspects = state.quarantine.keys.filter { it in state.suspects && it !in reasons }
         val kept = explainedSuspects.fold(state.quarantine) { quarantine, fingerprint ->
