--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -6,10 +6,15 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlState
+import marigoldward.core.control.ControlStateMachine
+import marigoldward.core.control.Fingerprint
+import marigoldward.core.control.LostRequest
 import marigoldward.core.errorOrNull
 import marigoldward.core.getOrNull
 import marigoldward.core.model.InstanceId
+import marigoldward.core.model.UpstreamId
 import marigoldward.core.replication.EntryPayload
 import marigoldward.core.replication.HardState
 import marigoldward.core.replication.LogEntry
@@ -52,6 +57,43 @@
                 }
                 open(folder).use { it.recovered.hardState shouldBe HardState(5, SELF) }
             }
+            // Guards against a quarantine that is forgotten when all control processes are restarted.
+            it("keeps suspected and quarantined fingerprints, in the log and in a snapshot") {
+                fun crash(upstream: String, fingerprint: String, knownCrashes: Int) = ControlCommand.ReportCrash(
+                    UpstreamId.parse(upstream),
+                    listOf(LostRequest(listOf(LostRequest.Suspect(Fingerprint.parse(fingerprint), knownCrashes)))),
+                )
+                val commands =
+                    listOf(
+                        crash("u-0", "dead", 0),
+                        crash("u-1", "dead", 1),
+                        crash("u-2", "dead", 2),
+                        ControlCommand.RetryQuarantined(Fingerprint.parse("dead")),
+                        crash("u-3", "dead", 2),
+                        crash("u-4", "ab", 0),
+                        crash("u-5", "cd", 0),
+                        ControlCommand.ClearSuspects(listOf(Fingerprint.parse("cd"))),
+                    )
+                val written = commands.mapIndexed { index, command ->
+                    LogEntry(index + 1L, 1, EntryPayload.Command(command))
+                }
+                val state = commands.fold(ControlState.EMPTY) { before, command ->
+                    ControlStateMachine.apply(before, 0, command).state
+                }
+                state.quarantine.isEmpty() shouldBe false
+                state.suspects.size shouldBe 2
+                val folder = initialisedFolder()
+                open(folder).use { store ->
+                    store.writeEntries(written)
+                    store.sync()
+                }
+                open(folder).use { store ->
+                    store.recovered.entries shouldBe written
+                    val point = SnapshotPoint(written.last().index, 1, store.recovered.snapshot.point.members)
+                    store.writeSnapshot(Snapshot(point, state), emptyList())
+                }
+                open(folder).use { it.recovered.snapshot.state shouldBe state }
+            }
             it("that is empty gets a new incarnation that knows no members") {
                 open(newFolder()).use { store ->
                     store.replica shouldBe NEW_REPLICA
