--- a/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
@@ -88,17 +88,14 @@
         return CrashCounts.Entry(fingerprint, suspicion?.crashes?.size ?: 0, quarantined)
     }
 
+    /** Returns the commands for [report] that would change the state. */
     private fun newCommands(report: CrashReport): List<ControlCommand> {
-        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests) }
-        val cleared = report.answered.filter(::isSuspected)
-        val clearing = if (cleared.isEmpty()) emptyList() else listOf(ControlCommand.ClearSuspects(cleared))
         val snapshot = state
-        return clearing + crashes.filter { ControlStateMachine.apply(snapshot, 0, it).state !== snapshot }
+        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests) }
+        return (listOf(ControlCommand.ClearSuspects(report.answered)) + crashes)
+            .filter { ControlStateMachine.apply(snapshot, 0, it).state !== snapshot }
     }
 
-    private fun isSuspected(fingerprint: Fingerprint): Boolean =
-        fingerprint in state.suspects || fingerprint in state.quarantine
-
     private fun logReport(report: CrashReport, commands: Int) {
         log.info("crashes_reported") {
             field("upstreams", report.crashes.joinToString(",") { it.upstream.text })
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Admission.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Admission.kt
@@ -24,13 +24,8 @@
         val refusal = refusalOrNull(state, spec, nowMillis)
         if (refusal != null) return state.withActions(ServingAction.Refuse(spec.id, refusal, mayHaveRun = false))
         val percent = state.configuration.limits.retryBudgetPercent
-        val admitted = Queues.add(
-            recordTopClassArrival(state, spec, nowMillis),
-            PendingWork.fromArrival(
-                spec,
-                state.crashCounts[spec.fingerprint] ?: 0,
-            ),
-        )
+        val work = PendingWork.fromArrival(spec, state.crashCounts[spec.fingerprint] ?: 0)
+        val admitted = Queues.add(recordTopClassArrival(state, spec, nowMillis), work)
         return Retries.addToBudget(admitted, spec, percent).withoutActions()
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -57,7 +57,7 @@
     private val directoryBook = newDirectoryCache()
     private val feed =
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
-    private val crashReporter = CrashReporter(settings, crashes, ::schedule) { feed.current }
+    private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private val startedMillis = MonotonicClock.nowMillis()
     private var isShuttingDown = false
@@ -125,10 +125,6 @@
         loop.scheduleWithFixedDelay(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
-    private fun schedule(delayMillis: Long, action: () -> Unit) {
-        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
-    }
-
     private fun newRetryBudget(): RetryBudgetShare =
         RetryBudgetShare(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMillis)
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/CrashReporter.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/CrashReporter.kt
@@ -51,7 +51,8 @@
         reportCount++
         val client = clientOrNull()
         if (client == null) {
-            onUndelivered(report, null)
+            leader = null
+            onUndelivered(report)
         } else {
             client.callAsync(FeedRpc.REPORT_CRASHES, report, CALL_TIMEOUT_MILLIS, ReplyObserver(report))
         }
@@ -69,7 +70,7 @@
 
     private fun onReply(report: CrashReport, reply: CrashReportReply) {
         leader = reply.leader
-        if (!reply.isCommitted) return onUndelivered(report, reply.leader)
+        if (!reply.isCommitted) return onUndelivered(report)
         isInFlight = false
         log.info("crashes_reported") {
             field("control", connection?.instance)
@@ -82,9 +83,8 @@
         schedule(IDLE_MILLIS) { if (reportCount == countAtReply) close() }
     }
 
-    private fun onUndelivered(report: CrashReport, newLeader: InstanceId?) {
+    private fun onUndelivered(report: CrashReport) {
         isInFlight = false
-        leader = newLeader
         suspicions.restore(report)
         isScheduled = true
         schedule(RETRY_MILLIS, ::send)
@@ -96,7 +96,8 @@
             field("reason", failure.message)
         }
         close()
-        onUndelivered(report, null)
+        leader = null
+        onUndelivered(report)
     }
 
     private inner class ReplyObserver(private val report: CrashReport) : StreamObserver<CrashReportReply> {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -46,9 +46,7 @@
             field("end", end.name.lowercase())
             field("reason", reason)
             field("took_ms", nowMillis - attempt.startedMillis)
-            if (end in
-                LOST_UPSTREAM_ENDS
-            ) {
+            if (end in LOST_UPSTREAM_ENDS) {
                 field("parts", request.metadata.prompt?.sharedParts?.joinToString(",") { it.id })
             }
         }
