Refuse what a stopping gateway can't finish, and finish what it took

An entry got SIGTERM at 27.000, took streams at 32.589, 33.517, 33.550 and 33.803 and cut them when it ended at 34.5.

Cause: a stopping gateway took every request until it ended, and ended 7.4 s into its 8 s of grace whatever ran. With fewer than half of a data centre's entries in rotation the balancer sends new connections to stopping ones as well, so requests come during the whole grace period. Ruled out: kept connections that stay open (each answer says "close"). Besides, a request that arrived between the last check and the end of listening was cut in the 200 ms before the exit.

Change: during a shutdown a request is taken only if it is expected to end before the gateway does: by its deadline, or by the longest recent request of its route and a margin (core, ShutdownAdmission). Others are refused at once as not run. After the end of listening the gateway waits once more; what is left at the end gets 502, or 503 if it was never sent, rather than a cut. GracefulShutdown holds the sequence, which tests now run without control instances.

Also: the main thread no longer throws at each stop.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -29,7 +29,6 @@
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
 import java.net.InetSocketAddress
-import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -77,36 +76,8 @@
      * ended or the grace period is nearly over.
      */
     override fun close() {
-        val deadlineMillis = MonotonicClock.nowMillis() + settings.gracePeriodMillis - EXIT_MARGIN_MILLIS
-        onLoop {
-            isShuttingDown = true
-            callerServer.isDraining = true
-        }
-        log.info("ending")
-        Thread.sleep(minOf(settings.gracePeriodMillis / 2, READINESS_PROPAGATION_MILLIS))
-        onLoop(callerServer::closeIdle)
-        while (MonotonicClock.nowMillis() < deadlineMillis && hasRequestsInProgress()) Thread.sleep(DRAIN_POLL_MILLIS)
-        onLoop {
-            callerServer.stopListening()
-            callerServer.closeIdle()
-        }
-        Thread.sleep(FLUSH_MILLIS)
-        log.info("ended") { field("requests_left", hasRequestsInProgress()) }
-    }
-
-    private fun hasRequestsInProgress(): Boolean {
-        var hasRequests = false
-        onLoop { hasRequests = callerServer.isBusy }
-        return hasRequests
-    }
-
-    private fun onLoop(action: () -> Unit) {
-        val done = CountDownLatch(1)
-        loop.execute {
-            action()
-            done.countDown()
-        }
-        done.await(LOOP_CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        loop.execute { isShuttingDown = true }
+        GracefulShutdown(loop, callerServer, gateway, settings.gracePeriodMillis).run()
     }
 
     private fun start() {
@@ -235,14 +206,6 @@
         /** How long a gateway without a configuration waits for one from a control instance with fresh state. */
         private const val FRESH_CONFIGURATION_TIMEOUT_MILLIS = 3_000L
 
-        /** The time in which two readiness checks fail, after which no new callers are sent to this gateway. */
-        private const val READINESS_PROPAGATION_MILLIS = 2_500L
-
-        /** The part of the grace period that is kept for the process to exit before it is killed. */
-        private const val EXIT_MARGIN_MILLIS = 800L
-        private const val DRAIN_POLL_MILLIS = 50L
-        private const val FLUSH_MILLIS = 200L
-        private const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
         private val log = EventLog.fromName("entry")
 
         /** Starts a gateway. */
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -0,0 +1,78 @@
+package marigoldward.gateway
+
+import io.netty.channel.EventLoop
+import marigoldward.gateway.caller.CallerServer
+import marigoldward.gateway.session.Gateway
+import marigoldward.support.log.EventLog
+import marigoldward.support.time.MonotonicClock
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/**
+ * Ends the work of a gateway within its grace period, without cutting off responses.
+ *
+ * @param gracePeriodMillis the time until the process is killed, in milliseconds
+ */
+internal class GracefulShutdown(
+    private val loop: EventLoop,
+    private val callerServer: CallerServer,
+    private val gateway: Gateway,
+    private val gracePeriodMillis: Long,
+) {
+    /**
+     * Takes requests that are expected to end in time, closes each connection after its response, and returns when all
+     * requests have ended. Those that are in progress when the grace period is nearly over are ended by the gateway.
+     */
+    fun run() {
+        val exitMillis = MonotonicClock.nowMillis() + gracePeriodMillis - EXIT_MARGIN_MILLIS
+        onLoop {
+            callerServer.isDraining = true
+            gateway.beginShutdown(exitMillis)
+        }
+        log.info("ending")
+        Thread.sleep(minOf(gracePeriodMillis / 2, READINESS_PROPAGATION_MILLIS))
+        onLoop(callerServer::closeIdle)
+        awaitRequests(exitMillis)
+        // A request that arrives before the listening socket is closed is served like those before it.
+        onLoop {
+            callerServer.stopListening()
+            callerServer.closeIdle()
+        }
+        awaitRequests(exitMillis)
+        val requestsLeft = hasRequestsInProgress()
+        onLoop(gateway::endRequests)
+        Thread.sleep(FLUSH_MILLIS)
+        log.info("ended") { field("requests_left", requestsLeft) }
+    }
+
+    private fun awaitRequests(untilMillis: Long) {
+        while (MonotonicClock.nowMillis() < untilMillis && hasRequestsInProgress()) Thread.sleep(DRAIN_POLL_MILLIS)
+    }
+
+    private fun hasRequestsInProgress(): Boolean {
+        var hasRequests = false
+        onLoop { hasRequests = callerServer.isBusy }
+        return hasRequests
+    }
+
+    private fun onLoop(action: () -> Unit) {
+        val done = CountDownLatch(1)
+        loop.execute {
+            action()
+            done.countDown()
+        }
+        done.await(LOOP_CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** The time in which two readiness checks fail, after which no new callers are sent to this gateway. */
+        const val READINESS_PROPAGATION_MILLIS = 2_500L
+
+        /** The part of the grace period that is kept for the process to exit before it is killed. */
+        const val EXIT_MARGIN_MILLIS = 800L
+        const val DRAIN_POLL_MILLIS = 50L
+        const val FLUSH_MILLIS = 200L
+        const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
+        val log = EventLog.fromName("entry")
+    }
+}
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -57,6 +57,12 @@
         if (isIdle) closeGracefully()
     }
 
+    /** Closes the connection at once with a TCP reset. */
+    fun reset() {
+        (context.channel() as SocketChannel).config().setSoLinger(0)
+        context.close()
+    }
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
     }
@@ -233,8 +239,7 @@
             if (!isCurrent) return
             current = null
             // The end of the connection is the end of the response before HTTP/1.1, so only a reset tells them apart.
-            if (received.isBeforeHttp11) (context.channel() as SocketChannel).config().setSoLinger(0)
-            context.close()
+            if (received.isBeforeHttp11) reset() else context.close()
         }
 
         private fun keepsConnection(): Boolean =
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -60,6 +60,11 @@
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
 
+    /** Resets all connections, as the end of the process does. */
+    fun resetAll() {
+        connections.toList().forEach(CallerConnection::reset)
+    }
+
     fun addConnection(connection: CallerConnection) {
         connections.add(connection)
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -14,6 +14,21 @@
 internal class Gateway(private val context: SessionContext, private val random: Random) {
     /** The configuration in force, or null before the first one was applied. */
     var configuration: RouteConfiguration? = null
+        set(value) {
+            field = value
+            context.shutdownAdmission.retainRoutes(value?.routes.orEmpty().mapTo(HashSet()) { it.name })
+        }
+
+    /** When the requests in progress are ended, in milliseconds of monotonic time, or null if no shutdown has begun. */
+    private var exitMillis: Long? = null
+
+    /** Takes only requests that are expected to end before [exitMillis], from now on. */
+    fun beginShutdown(exitMillis: Long) {
+        this.exitMillis = exitMillis
+    }
+
+    /** Ends the requests in progress. */
+    fun endRequests() = context.endSessionsForExit()
 
     /** Serves the request of [exchange]. */
     fun handle(exchange: CallerExchange) {
@@ -42,10 +57,20 @@
         val service = configuration.services.getValue(route.serviceFor(random.nextDouble()).service)
         val timeoutMillis = minOf(route.timeoutMillis, metadata.deadlineMillis ?: Long.MAX_VALUE)
         val deadlineMillis = exchange.request.arrivedMillis + timeoutMillis
+        if (!isExpectedToEndBeforeExit(route, deadlineMillis)) {
+            sendNotRun(exchange, metadata, SessionEnd.NotRun.BY_SHUTDOWN)
+            return
+        }
         val request = SessionRequest(id, exchange, metadata, route, service, deadlineMillis)
         newSession(request, route, service).start()
     }
 
+    private fun isExpectedToEndBeforeExit(route: Route, deadlineMillis: Long): Boolean {
+        val untilExitMillis = (exitMillis ?: return true) - context.nowMillis()
+        val remainingMillis = deadlineMillis - context.nowMillis()
+        return context.shutdownAdmission.admits(route.name, remainingMillis, untilExitMillis, context.nowMillis())
+    }
+
     private fun newSession(request: SessionRequest, route: Route, service: ServiceDeclaration): Session =
         if (route.kind == RequestKind.STREAM || service.engine != null) {
             StreamSession(context, request)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -34,20 +34,18 @@
         if (lastError == null) super.endQuarantined() else respond(lastError.head, lastError.body)
     }
 
-    override fun onTimeout() {
-        cancelUpstreamWork("time over")
+    override fun endUnanswered(end: SessionEnd) {
         val lastError = upstreamError
-        if (lastError == null) endWithoutResponse(SessionEnd.TimedOut) else respond(lastError.head, lastError.body)
+        if (lastError == null) endWithoutResponse(end) else respond(lastError.head, lastError.body)
     }
 
-    private fun endWithoutPlacement(placement: Placement.None) {
-        val lastError = upstreamError
-        when {
-            lastError != null -> respond(lastError.head, lastError.body)
-            history.mayHaveRun -> endWithoutResponse(SessionEnd.Unknown(placement.reason.name.lowercase()))
-            else -> endWithoutResponse(SessionEnd.fromPlacement(placement, remainingMillis))
-        }
-    }
+    private fun endWithoutPlacement(placement: Placement.None) = endUnanswered(
+        if (history.mayHaveRun) {
+            SessionEnd.Unknown(placement.reason.name.lowercase())
+        } else {
+            SessionEnd.fromPlacement(placement, remainingMillis)
+        },
+    )
 
     private fun send(upstream: ListedUpstream) {
         val options =
@@ -62,6 +60,7 @@
         attempt = UpstreamAttempt(context, request, upstream, PlainListener { attempt })
         currentAttempt = attempt
         val head = context.dialect.forwardedRequest(request.head, options)
+        recordRunSent()
         attempt.send(
             head,
             "whole",
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -21,8 +21,15 @@
     /** The time until the deadline of the request, in milliseconds; negative after it. */
     protected val remainingMillis: Long get() = request.deadlineMillis - context.nowMillis()
 
+    /** Whether an upstream may be running the request, or may have run it. */
+    private var mayRun = false
+
+    /** Whether the request may have run, so that the caller must not be told that it has not. */
+    val mayHaveRun: Boolean get() = mayRun || history.mayHaveRun
+
     /** Starts the first attempt and the timer for the deadline. */
     fun start() {
+        context.recordSessionStart(this)
         request.exchange.onCallerGone = ::onCallerGone
         context.retryBudget(request.serviceName).recordRequest(context.nowMillis())
         val timeout = context.schedule(remainingMillis) { if (!hasEnded) onTimeout() }
@@ -38,8 +45,26 @@
     /** Cancels the current attempt and frees what upstreams hold for the request. */
     protected abstract fun cancelUpstreamWork(reason: String)
 
-    /** Called when the deadline has passed before the request ended. */
-    protected abstract fun onTimeout()
+    /** Ends the request as [end], unless a response to it has begun or an upstream's error can be forwarded. */
+    protected abstract fun endUnanswered(end: SessionEnd)
+
+    /** Ends the request because the gateway is about to exit. */
+    fun endForExit() {
+        if (hasEnded) return
+        val end = if (mayHaveRun) SessionEnd.Unknown(SHUTTING_DOWN) else SessionEnd.NotRun.BY_SHUTDOWN
+        cancelUpstreamWork("shutting down")
+        endUnanswered(end)
+    }
+
+    /** Records that an attempt is sent which runs the request. */
+    protected fun recordRunSent() {
+        mayRun = true
+    }
+
+    private fun onTimeout() {
+        cancelUpstreamWork("time over")
+        endUnanswered(SessionEnd.TimedOut)
+    }
 
     /** Records that an attempt at [upstream] ended as [end]. */
     protected fun recordAttemptEnd(upstream: UpstreamId, end: AttemptEnd) {
@@ -126,7 +151,9 @@
         if (hasEnded) return
         hasEnded = true
         cancelTimeout()
-        SessionLog.ended(request, outcome, status, timing, context.nowMillis())
+        val nowMillis = context.nowMillis()
+        context.recordSessionEnd(this, request.route, nowMillis - request.arrivedMillis)
+        SessionLog.ended(request, outcome, status, timing, nowMillis)
     }
 
     private fun onCallerGone() {
@@ -139,6 +166,9 @@
         /** The outcome of a request that is quarantined. */
         const val QUARANTINED: String = "quarantined"
 
+        /** The outcome of a request that has not ended when the gateway exits. */
+        private const val SHUTTING_DOWN = "shutting_down"
+
         /** The `Retry-After` of a quarantined request: longer than any caller waits for an answer. */
         private const val QUARANTINE_MILLIS = 60_000L
         private val CONTENT_LENGTH = setOf("content-length")
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -5,7 +5,9 @@
 import marigoldward.core.dispatch.Dispatcher
 import marigoldward.core.dispatch.LongPromptGate
 import marigoldward.core.dispatch.RetryBudgetShare
+import marigoldward.core.dispatch.ShutdownAdmission
 import marigoldward.core.model.PoolName
+import marigoldward.core.routes.Route
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.time.MonotonicClock
@@ -20,6 +22,10 @@
     val crashes: CrashSuspicions,
     private val newRetryBudget: () -> RetryBudgetShare,
 ) {
+    private val activeSessions = LinkedHashSet<Session>()
+
+    /** Decides which requests are still taken during a shutdown. */
+    val shutdownAdmission = ShutdownAdmission()
     private val longPromptGates = HashMap<PoolName, LongPromptGate<LongPromptAdmission>>()
     private val retryBudgets = HashMap<PoolName, RetryBudgetShare>()
 
@@ -29,6 +35,22 @@
     /** Returns the current time, in milliseconds of monotonic time. */
     fun nowMillis(): Long = MonotonicClock.nowMillis()
 
+    /** Records that [session] has started. */
+    fun recordSessionStart(session: Session) {
+        activeSessions.add(session)
+    }
+
+    /** Records that [session], whose request is on [route], has ended after [durationMillis]. */
+    fun recordSessionEnd(session: Session, route: Route, durationMillis: Long) {
+        activeSessions.remove(session)
+        shutdownAdmission.recordEnd(route.name, durationMillis, nowMillis())
+    }
+
+    /** Ends all sessions, as the gateway is about to exit; those first that wait, so that none of them is sent. */
+    fun endSessionsForExit() {
+        activeSessions.sortedBy { it.mayHaveRun }.forEach(Session::endForExit)
+    }
+
     /** Returns this gateway's share of the retry budget of [service]. */
     fun retryBudget(service: PoolName): RetryBudgetShare = retryBudgets.getOrPut(service, newRetryBudget)
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
@@ -18,6 +18,11 @@
     data class NotRun(val reason: String, val retryAfterMillis: Long) : SessionEnd {
         override val label: String get() = "not_run_$reason"
         override val status: Int get() = SERVICE_UNAVAILABLE
+
+        companion object {
+            /** A refusal by a gateway that shuts down; another one can serve the request at once. */
+            val BY_SHUTDOWN: NotRun = NotRun("shutting_down", RETRY_AFTER_RANGE_MILLIS.first)
+        }
     }
 
     /** The request may have run. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -54,9 +54,8 @@
         if (hasResponseBegun) abortResponse(QUARANTINED) else super.endQuarantined()
     }
 
-    override fun onTimeout() {
-        cancelUpstreamWork("time over")
-        if (hasResponseBegun) abortResponse("timed_out") else endWithoutResponse(SessionEnd.TimedOut)
+    override fun endUnanswered(end: SessionEnd) {
+        if (hasResponseBegun) abortResponse(end.label) else endWithoutResponse(end)
     }
 
     private fun place(): Placement {
@@ -132,6 +131,7 @@
         attempt = UpstreamAttempt(context, request, upstream, StreamListener { attempt })
         currentAttempt = attempt
         val head = context.dialect.forwardedRequest(request.head, forwardOptions(upstream, step, cacheSource))
+        recordRunSent()
         val stepLabel = if (step is Dialect.Step.Decode) "decode" else "whole"
         attempt.send(head, stepLabel, prefillTokens, cacheSource, needsFreshConnection = !request.route.isRepeatable)
         if (request.route.isRepeatable) watchForSilence(attempt)
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
@@ -0,0 +1,160 @@
+package marigoldward.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import marigoldward.core.dispatch.EngineStage
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+private const val GRACE_MILLIS = 3_000L
+private const val ANSWER_MILLIS = 700L
+
+/** How a request ended for its caller. */
+private data class Ending(val sentMillis: Long, val status: Int?, val isComplete: Boolean, val closes: Boolean)
+
+private fun request(path: String, id: String): String = "GET $path HTTP/1.1\r\nHost: h.example\r\nX-Id: $id\r\n\r\n"
+
+/** Answers after [ANSWER_MILLIS], a stream with its first event at once. */
+private fun answerSlowly(call: FakeUpstream.Call) {
+    if (call.head.startsWith("GET /s/")) {
+        call.write(
+            "HTTP/1.1 200 OK\r\nX-Id: ${call.id}\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                "f\r\nid: 1\ndata: a\n\n\r\n",
+        )
+        Thread.sleep(ANSWER_MILLIS)
+        call.write("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+    } else {
+        Thread.sleep(ANSWER_MILLIS)
+        call.respond("done")
+    }
+}
+
+/** Sends a request and reads its response; the status of the ending is null if no byte of a response came. */
+private fun RawCaller.exchange(path: String, id: String, startNanos: Long): Ending {
+    val sentMillis = (System.nanoTime() - startNanos) / 1_000_000
+    val response = runCatching {
+        send(request(path, id))
+        readResponse()
+    }.getOrNull()
+    val closes = response?.head?.contains("Connection: close") == true
+    return Ending(sentMillis, response?.status, response?.isComplete == true, closes)
+}
+
+/** The endings of requests during a shutdown, and what upstreams got of them. */
+private class Shutdown(val endings: List<Ending>, val forwardedIds: Set<String>, val tookMillis: Long)
+
+/**
+ * Shuts a gateway down while one caller after the other opens a connection, every 100 ms until none is accepted. Each
+ * sends a request to [path] and, where [keepsUsing], goes on until its connection is gone.
+ */
+private fun shutDownUnderLoad(path: String, isEngine: Boolean, keepsUsing: Boolean): Shutdown {
+    val upstream = FakeUpstream(::answerSlowly)
+    val endings = CopyOnWriteArrayList<Ending>()
+    val stage = if (isEngine) EngineStage.DECODE else null
+    TestGateway(listOf(upstream.address to stage), timeoutMillis = 2_500, targetLatencyMillis = 500).use { gateway ->
+        gateway.caller().use { it.exchange(path, "warm", System.nanoTime()).status shouldBe 200 }
+        val kept = List(3) { gateway.caller() }
+        val startNanos = System.nanoTime()
+        val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+        val callers = CopyOnWriteArrayList<Thread>()
+        kept.forEachIndexed { index, caller ->
+            callers += thread {
+                Thread.sleep(300L * index)
+                caller.use { useUntilGone(it, path, "kept-$index", startNanos, endings, keepsUsing) }
+            }
+        }
+        var number = 0
+        while (shutdown.isAlive) {
+            val caller = runCatching { gateway.caller() }.getOrNull() ?: break
+            val id = "new-${number++}"
+            callers += thread { caller.use { useUntilGone(it, path, id, startNanos, endings, keepsUsing) } }
+            Thread.sleep(100)
+        }
+        shutdown.join()
+        val tookMillis = (System.nanoTime() - startNanos) / 1_000_000
+        callers.forEach(Thread::join)
+        val forwarded = upstream.calls.map { it.id }.toSet()
+        upstream.close()
+        return Shutdown(endings, forwarded, tookMillis)
+    }
+}
+
+private fun useUntilGone(
+    caller: RawCaller,
+    path: String,
+    id: String,
+    startNanos: Long,
+    endings: MutableList<Ending>,
+    keepsUsing: Boolean,
+) {
+    var count = 0
+    do {
+        val ending = caller.exchange(path, "$id.${count++}", startNanos)
+        endings += ending
+    } while (keepsUsing && ending.isComplete)
+}
+
+class GracefulShutdownTest :
+    DescribeSpec({
+        // A stopping gateway took requests until it ended and cut those that were not finished then.
+        describe("a shutdown under load") {
+            listOf("a stream" to "/s/x", "a plain call" to "/i/x", "a call that must not run twice" to "/n/x")
+                .forEach { (name, path) ->
+                    listOf(false, true).forEach { keepsUsing ->
+                        val use = if (keepsUsing) "connections used until they are gone" else "new connections"
+                        it("ends each forwarded request completely: $name, $use") {
+                            val shutdown = shutDownUnderLoad(path, isEngine = path == "/s/x", keepsUsing)
+                            shutdown.endings.filter { it.status != null && !it.isComplete }.shouldBeEmpty()
+                            val unanswered = shutdown.endings.count { it.status == null }
+                            val answered = shutdown.endings.count { it.status == 200 }
+                            shutdown.forwardedIds.size shouldBe answered + 1
+                            answered shouldBeGreaterThan 5
+                            shutdown.endings.filter { it.status == 503 }.shouldNotBeEmpty()
+                            if (!keepsUsing) unanswered shouldBe 0
+                            shutdown.tookMillis shouldBeLessThan GRACE_MILLIS
+                        }
+                    }
+                }
+            it("ends the connection of each response") {
+                val endings = shutDownUnderLoad("/i/x", isEngine = false, keepsUsing = true).endings
+                endings.filter { it.status != null && !it.closes }.shouldBeEmpty()
+            }
+        }
+        describe("a request that takes longer than expected") {
+            it("gets an answer when the gateway ends, which does not say that it has not run") {
+                FakeUpstream { Thread.sleep(5_000) }.use { upstream ->
+                    TestGateway(listOf(upstream.address to null), timeoutMillis = 10_000).use { gateway ->
+                        gateway.caller().use { caller ->
+                            caller.send(request("/n/x", "1"))
+                            Thread.sleep(100)
+                            val shutdown = thread { gateway.shutDown(1_500) }
+                            val response = caller.readResponse().shouldNotBeNull()
+                            response.status shouldBe 502
+                            response.head shouldContain "Connection: close"
+                            shutdown.join()
+                        }
+                    }
+                }
+            }
+        }
+        describe("a gateway without requests") {
+            it("shuts down before its grace period is over, and lets no connection pass without an end") {
+                FakeUpstream(::answerSlowly).use { upstream ->
+                    TestGateway(listOf(upstream.address to null)).use { gateway ->
+                        gateway.caller().use { caller ->
+                            val startNanos = System.nanoTime()
+                            gateway.shutDown(GRACE_MILLIS)
+                            (System.nanoTime() - startNanos) / 1_000_000 shouldBeLessThan GRACE_MILLIS
+                            caller.isClosed() shouldBe true
+                        }
+                    }
+                }
+            }
+        }
+    })
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -61,6 +61,12 @@
 
     fun caller(): RawCaller = RawCaller(port)
 
+    /** Shuts the gateway down within [gracePeriodMillis]; the connections that are open then are reset, as at an exit. */
+    fun shutDown(gracePeriodMillis: Long) {
+        GracefulShutdown(loop, server, gateway, gracePeriodMillis).run()
+        onLoop { server.resetAll() }
+    }
+
     /** Runs [action] on the event loop thread and returns its result. */
     fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -11,7 +11,6 @@
 import marigoldward.support.settings.SettingsProblem
 import java.io.File
 import java.io.IOException
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 /** Start and shutdown of a program: its command line, its settings file and its exit codes. */
@@ -88,18 +87,16 @@
         exitProcess(EXIT_START)
     }
 
-    /** Blocks until the process is asked to terminate, and then calls [stop]. */
+    /** Blocks until the process is asked to terminate, and then calls [stop] before the process ends. */
     public fun runUntilStopped(stop: () -> Unit): Nothing {
-        val latch = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 stop()
                 EventLog.flush()
-                latch.countDown()
             },
         )
-        latch.await()
-        throw IllegalStateException("the shutdown hook ended without the process")
+        // The process ends with the shutdown hooks, while this thread still waits.
+        while (true) Thread.sleep(Long.MAX_VALUE)
     }
 
     /** Prints [problems] and ends the process with [EXIT_USAGE]. */
