Don't start requests whose callers left while the event loop lagged

One: sent by its caller at 58.301 to an entry that was still cold after all machines had lost power; the caller gave up at 58.513, as the request was not read for a third of its time; the entry read it at 59.05 and sent it to an engine at 59.08 (59.36 at the engine); the close was read at 59.25, in the next pass of the loop.

Cause: one pass of the event loop read a request and started it at once. The close behind it in the same socket was only read in the next pass, and a pass over many requests takes seconds on a slow processor. Ruled out by tests that passed before: the queue of long prompts, a connection being opened, the step from prefill to decode, the next upstream after a refusal; each ends with the caller's close.

A request whose caller has left is dropped with a log line. One whose deadline passed before its start is refused as not run.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -146,7 +146,19 @@
     private fun startExchange(request: IncomingRequest) {
         val exchange = Exchange(request)
         current = exchange
-        server.handle(exchange)
+        server.startQueue.add { serveUnlessCallerLeft(exchange) }
+    }
+
+    private fun serveUnlessCallerLeft(exchange: Exchange) {
+        if (current === exchange && context.channel().isActive) {
+            server.handle(exchange)
+            return
+        }
+        log.info("caller_left_before_start") {
+            field("caller", context.channel().remoteAddress())
+            field("target", exchange.request.head.target)
+            field("waited_ms", MonotonicClock.nowMillis() - exchange.request.arrivedMillis)
+        }
     }
 
     /** Rejects a malformed request and closes the connection, as the bytes after it cannot be interpreted. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -1,12 +1,14 @@
 package marigoldward.gateway.caller
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
 import java.net.InetSocketAddress
@@ -22,6 +24,8 @@
     private val currentLimits: () -> CallerLimits,
     val handle: (CallerExchange) -> Unit,
 ) {
+    /** The requests that were received and not started yet. */
+    val startQueue: StartQueue = StartQueue(loop)
     private val connections = LinkedHashSet<CallerConnection>()
     private var listenChannel: Channel? = null
 
@@ -46,6 +50,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
         listenChannel = bootstrap.bind(address).sync().channel()
     }
@@ -88,6 +93,13 @@
     }
 
     private companion object {
+        /** Lets one read event take all that has come, so that a close behind a request is known when that starts. */
+        fun readToTheEnd(): RecvByteBufAllocator =
+            AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_EVENT)
+
+        /** Bounds how long one connection with much to read holds up the others. */
+        const val MAX_READS_PER_EVENT = 16
+
         /** Large enough that no connection request is dropped when many callers connect at once. */
         const val BACKLOG_CONNECTIONS = 1_024
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -34,7 +34,7 @@
         context.retryBudget(request.serviceName).recordRequest(context.nowMillis())
         val timeout = context.schedule(remainingMillis) { if (!hasEnded) onTimeout() }
         cancelTimeout = { timeout.cancel(false) }
-        startNextAttempt()
+        if (remainingMillis > 0) startNextAttempt() else endWithoutResponse(SessionEnd.NotRun.BY_DEADLINE)
     }
 
     private var cancelTimeout: () -> Unit = {}
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionEnd.kt
@@ -22,6 +22,9 @@
         companion object {
             /** A refusal by a gateway that shuts down; another one can serve the request at once. */
             val BY_SHUTDOWN: NotRun = NotRun("shutting_down", RETRY_AFTER_RANGE_MILLIS.first)
+
+            /** A refusal of a request whose deadline passed before it could be sent. */
+            val BY_DEADLINE: NotRun = NotRun("deadline_passed", RETRY_AFTER_RANGE_MILLIS.first)
         }
     }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -33,6 +33,7 @@
  * (`/r/`).
  *
  * @param upstreams the address of each upstream, and the stage of an engine or null for a plain service
+ * @param handlingMillis how long the event loop is busy with each request, as on a slow processor
  */
 internal class TestGateway(
     upstreams: List<Pair<String, EngineStage?>>,
@@ -40,6 +41,7 @@
     private val limits: CallerLimits = CallerLimits.DEFAULT,
     timeoutMillis: Long = 1_500,
     private val targetLatencyMillis: Long = 200,
+    private val handlingMillis: Long = 0,
 ) : Closeable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -49,7 +51,10 @@
     private val context =
         SessionContext(loop, TestDialect, dispatcher, pool, crashSuspicions) { RetryBudgetShare(0.2, 64, 10_000) }
     private val gateway = Gateway(context, Random(1))
-    val server = CallerServer(loop, { limits }, gateway::handle)
+    val server = CallerServer(loop, { limits }) { exchange ->
+        Thread.sleep(handlingMillis)
+        gateway.handle(exchange)
+    }
     val port: Int get() = server.port
 
     init {
