Carry out a stop that is asked for during a start

Seen by reading, while looking for other causes of cut requests around a stop: a process that got SIGTERM after it had begun to listen and before the end of its start ended at once, and connections that it had accepted were cut.

Cause: the shutdown hook was only registered after the start. Change: Program.run registers it first; a stop that is asked for during the start takes effect after it. It replaces startOrExit and runUntilStopped in all programs.

Result: ProgramTest failed on the code before ("starting" without "closed"), passes now.

--- a/control/src/main/kotlin/marigoldward/control/Main.kt
+++ b/control/src/main/kotlin/marigoldward/control/Main.kt
@@ -45,8 +45,7 @@
     when (val store = ReplicaStore.open(settings.dataFolder, settings.clusterId, newReplica)) {
         is Outcome.Failure -> refuse(settings, store.error.toMessage())
         is Outcome.Success -> {
-            val program = Program.startOrExit { ControlProgram.start(settings, store.value) }
-            Program.runUntilStopped(program::close)
+            Program.run { ControlProgram.start(settings, store.value) }
         }
     }
 }
--- a/controller/src/main/kotlin/marigoldward/controller/Main.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/Main.kt
@@ -6,6 +6,5 @@
 public fun main(arguments: Array<String>) {
     val file = Program.settingsFile("marigoldward-controller", arguments)
     val settings = Program.loadSettings(file, ControllerSettings::read)
-    val program = Program.startOrExit { ControllerProgram.start(settings) }
-    Program.runUntilStopped(program::close)
+    Program.run { ControllerProgram.start(settings) }
 }
--- a/entry/src/main/kotlin/marigoldward/entry/Main.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/Main.kt
@@ -6,6 +6,5 @@
 public fun main(arguments: Array<String>) {
     val file = Program.settingsFile("marigoldward-entry", arguments)
     val settings = Program.loadSettings(file, EntrySettings::read)
-    val program = Program.startOrExit { EntryProgram.start(settings) }
-    Program.runUntilStopped(program::close)
+    Program.run { EntryProgram.start(settings) }
 }
--- a/standin/src/main/kotlin/marigoldward/standin/Main.kt
+++ b/standin/src/main/kotlin/marigoldward/standin/Main.kt
@@ -6,6 +6,5 @@
 public fun main(arguments: Array<String>) {
     val file = Program.settingsFile("marigoldward-standin", arguments)
     val settings = Program.loadSettings(file, StandinSettings::read)
-    val program = Program.startOrExit { StandinProgram.start(settings) }
-    Program.runUntilStopped(program::close)
+    Program.run { StandinProgram.start(settings) }
 }
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -11,6 +11,7 @@
 import marigoldward.support.settings.SettingsProblem
 import java.io.File
 import java.io.IOException
+import java.util.concurrent.CompletableFuture
 import kotlin.system.exitProcess
 
 /** Start and shutdown of a program: its command line, its settings file and its exit codes. */
@@ -78,23 +79,28 @@
         return settings
     }
 
-    /** Returns the result of [start]. If it throws, prints the cause and ends the process with [EXIT_START]. */
-    public fun <T> startOrExit(start: () -> T): T = try {
-        start()
-    } catch (failure: Exception) {
-        val cause = generateSequence<Throwable>(failure) { it.cause }.last()
-        System.err.println("cannot start: ${cause.javaClass.simpleName}: ${cause.message}")
-        exitProcess(EXIT_START)
-    }
-
-    /** Blocks until the process is asked to terminate, and then calls [stop] before the process ends. */
-    public fun runUntilStopped(stop: () -> Unit): Nothing {
+    /**
+     * Runs the program that [start] returns until the process is asked to terminate, and then closes it.
+     *
+     * A request to terminate that comes during the start takes effect after it, so that connections accepted by then
+     * are not cut off. If [start] throws, prints the cause and ends the process with [EXIT_START].
+     */
+    public fun run(start: () -> AutoCloseable): Nothing {
+        val started = CompletableFuture<AutoCloseable?>()
         Runtime.getRuntime().addShutdownHook(
             Thread {
-                stop()
+                started.join()?.close()
                 EventLog.flush()
             },
         )
+        try {
+            started.complete(start())
+        } catch (failure: Exception) {
+            started.complete(null)
+            val cause = generateSequence<Throwable>(failure) { it.cause }.last()
+            System.err.println("cannot start: ${cause.javaClass.simpleName}: ${cause.message}")
+            exitProcess(EXIT_START)
+        }
         // The process ends with the shutdown hooks, while this thread still waits.
         while (true) Thread.sleep(Long.MAX_VALUE)
     }
--- /dev/null
+++ b/support/src/test/kotlin/marigoldward/support/program/ProgramTest.kt
@@ -0,0 +1,52 @@
+package marigoldward.support.program
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** A program whose start takes [START_MILLIS]. */
+internal object SlowlyStartingProgram {
+    const val START_MILLIS = 1_500L
+
+    @JvmStatic
+    fun main(arguments: Array<String>) {
+        Program.run {
+            println("starting")
+            if (arguments.isNotEmpty()) error("no ${arguments[0]}")
+            Thread.sleep(START_MILLIS)
+            AutoCloseable { println("closed") }
+        }
+    }
+}
+
+private fun startProcess(vararg arguments: String): Process {
+    val java = File(System.getProperty("java.home"), "bin/java").path
+    val command = listOf(java, "-cp", System.getProperty("java.class.path"), SlowlyStartingProgram::class.java.name)
+    return ProcessBuilder(command + arguments).redirectErrorStream(true).start()
+}
+
+class ProgramTest :
+    DescribeSpec({
+        // A process that got SIGTERM during its start ended without closing what it had started.
+        describe("a program that is asked to terminate while it starts") {
+            it("is closed once it has started") {
+                val process = startProcess()
+                val output = process.inputReader()
+                val first = output.readLine()
+                process.toHandle().destroy()
+                listOf(first) + output.readLines() shouldContainExactly listOf("starting", "closed")
+                process.waitFor() shouldBe 143
+            }
+        }
+        describe("a program that can't start") {
+            it("prints the cause and ends") {
+                val process = startProcess("room")
+                process.inputReader().readLines() shouldContainExactly
+                    listOf("starting", "cannot start: IllegalStateException: no room")
+                process.waitFor(5, TimeUnit.SECONDS) shouldBe true
+                process.exitValue() shouldBe Program.EXIT_START
+            }
+        }
+    })
