Price only the pairs of engines that can be the best

Seen: placing a generation priced every pair of an engine that processes the prompt and one that generates: on the large site about 1,200 pairs a request, on an entry's cold code in the first seconds after a start above all.

Change: an engine that takes no less time and costs no less than another one in its data centre is left out before pairs are priced. The random part that spreads near equals is added to engines rather than to pairs.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -69,14 +69,15 @@
         val prefillPrefixOwner = prefixOwnerOrNull(prefillEngines, prompt)
         val decodePrefixOwner = prefixOwnerOrNull(decodeEngines, prompt)
         val decodeCosts = decodeEngines.map {
-            pricing.decodeCost(it, isPrefixOwner = it.listed.id == decodePrefixOwner)
+            withTieBreak(pricing.decodeCost(it, isPrefixOwner = it.listed.id == decodePrefixOwner))
         }
-        val splitCandidates = prefillEngines.flatMap { prefillEngine ->
-            val tokens = prefillTokens(prefillEngine, prompt, prefillEngine.listed.id == prefillPrefixOwner, nowMillis)
-            val prefillCost = pricing.prefillCost(prefillEngine, tokens)
-            decodeCosts.map { pricing.split(prefillCost, it) }
+        val prefillCosts = prefillEngines.map {
+            val tokens = prefillTokens(it, prompt, it.listed.id == prefillPrefixOwner, nowMillis)
+            withTieBreak(pricing.prefillCost(it, tokens))
         }
-        val best = (singleCandidates + splitCandidates).minBy { it.price + random.nextDouble() * TIE_BREAK_PRICE }
+        val bestSplit = pricing.bestSplitOrNull(prefillCosts, decodeCosts)
+        val best = (singleCandidates + listOfNotNull(bestSplit))
+            .minBy { if (it === bestSplit) it.price else it.price + tieBreakPrice() }
         val isTooLate = best.expectedMillis > request.remainingMillis * MAX_FIRST_EVENT_FRACTION
         if (isTooLate) return Placement.None(Placement.Reason.TOO_LATE)
         return withCacheSource(best.placement, prompt, listOfNotNull(prefillPrefixOwner, decodePrefixOwner))
@@ -274,6 +275,11 @@
     private fun coldStartMillis(record: UpstreamRecord): Double =
         if (record.listed.isCold) costs.coldStartMillis else 0.0
 
+    private fun withTieBreak(cost: GenerationPricing.EngineCost): GenerationPricing.EngineCost =
+        cost.copy(price = cost.price + tieBreakPrice() / 2)
+
+    private fun tieBreakPrice(): Double = random.nextDouble() * TIE_BREAK_PRICE
+
     private fun cheapest(records: List<UpstreamRecord>, cost: (UpstreamRecord) -> Double): UpstreamRecord =
         records.minBy { cost(it) + random.nextDouble() * TIE_BREAK_MILLIS }
 
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
@@ -34,7 +34,7 @@
     }
 
     /** The time and the price that one engine adds to a split placement, whichever engine it is paired with. */
-    class EngineCost(val record: UpstreamRecord, val tokens: Int, val millis: Double, val price: Double)
+    data class EngineCost(val record: UpstreamRecord, val tokens: Int, val millis: Double, val price: Double)
 
     /**
      * Returns the share of [engine] in the cost of a split placement if it processes [tokens] prompt tokens for another
@@ -70,6 +70,28 @@
         return Candidate(Placement.Split(prefillEngine, decodeEngine, prefill.tokens), price, expectedMillis)
     }
 
+    /**
+     * Returns the cheapest candidate of all pairs of an engine of [prefillCosts] and one of [decodeCosts], or null if
+     * there is none.
+     *
+     * An engine that takes no less time and costs no less than another one in its data centre is in no cheaper pair, so
+     * only few pairs are priced on a large site.
+     */
+    fun bestSplitOrNull(prefillCosts: List<EngineCost>, decodeCosts: List<EngineCost>): Candidate? {
+        val decodeEngines = undominated(decodeCosts)
+        return undominated(prefillCosts)
+            .flatMap { prefill -> decodeEngines.map { split(prefill, it) } }
+            .minByOrNull { it.price }
+    }
+
+    private fun undominated(costs: List<EngineCost>): List<EngineCost> =
+        costs.groupBy { it.record.listed.dataCentre }.values.flatMap { inDataCentre ->
+            var lowestPrice = Double.POSITIVE_INFINITY
+            inDataCentre
+                .sortedWith(compareBy({ it.millis }, { it.price }))
+                .filter { cost -> (cost.price < lowestPrice).also { if (it) lowestPrice = cost.price } }
+        }
+
     private fun latenessPrice(expectedMillis: Double): Double =
         costs.latenessPrice(expectedMillis, request.targetMillis, request.remainingMillis)
 
