Go on with the other requests if the start of one fails

Found on reading the change: an exception in the start of a request would have left StartQueue marked as scheduled, and no later request would have been started. Change: the queue goes on in any case; the failing request's connection is closed, with a log line, as it was before the queue. Result: ForwardingTest plays a fault inside the gateway beside a sound request; all tests of the gateway pass.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -151,7 +151,15 @@
 
     private fun serveUnlessCallerLeft(exchange: Exchange) {
         if (current === exchange && context.channel().isActive) {
-            server.handle(exchange)
+            try {
+                server.handle(exchange)
+            } catch (failure: RuntimeException) {
+                log.warn("request_failed") {
+                    field("target", exchange.request.head.target)
+                    field("reason", failure)
+                }
+                context.close()
+            }
             return
         }
         log.info("caller_left_before_start") {
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/StartQueue.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/StartQueue.kt
@@ -24,12 +24,15 @@
 
     private fun startSome() {
         val endMillis = MonotonicClock.nowMillis() + MAX_RUN_MILLIS
-        do {
-            waiting.removeFirst().invoke()
-        } while (waiting.isNotEmpty() && MonotonicClock.nowMillis() < endMillis)
-        isScheduled = waiting.isNotEmpty()
-        // Only a delayed task lets the loop read before it runs.
-        if (isScheduled) loop.schedule(::startSome, 1, TimeUnit.MILLISECONDS)
+        try {
+            do {
+                waiting.removeFirst().invoke()
+            } while (waiting.isNotEmpty() && MonotonicClock.nowMillis() < endMillis)
+        } finally {
+            isScheduled = waiting.isNotEmpty()
+            // Only a delayed task lets the loop read before it runs.
+            if (isScheduled) loop.schedule(::startSome, 1, TimeUnit.MILLISECONDS)
+        }
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -53,6 +53,7 @@
     private val gateway = Gateway(context, Random(1))
     val server = CallerServer(loop, { limits }) { exchange ->
         Thread.sleep(handlingMillis)
+        check(exchange.request.head.path != FAILING_PATH) { "a fault of the gateway" }
         gateway.handle(exchange)
     }
     val port: Int get() = server.port
@@ -110,8 +111,10 @@
         hasPrompts = true,
     )
 
-    private companion object {
-        val DATA_CENTRE = DataCentre.parse("here")
-        val SERVICE = PoolName.parse("service")
+    companion object {
+        /** A request to this path fails inside the gateway. */
+        const val FAILING_PATH: String = "/fault"
+        private val DATA_CENTRE = DataCentre.parse("here")
+        private val SERVICE = PoolName.parse("service")
     }
 }
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
@@ -71,6 +71,22 @@
                     upstreams[0].calls.last().numberOnConnection shouldBe 1
                 }
             }
+            it("that fails inside the gateway closes its connection, and others are served") {
+                FakeUpstream { it.respond("done") }.use { upstream ->
+                    TestGateway(listOf(upstream.address to null)).use { gateway ->
+                        gateway.caller().use { failing ->
+                            gateway.caller().use { sound ->
+                                gateway.onLoop {
+                                    failing.send(get(TestGateway.FAILING_PATH, "1"))
+                                    sound.send(get("/i/x", "2"))
+                                }
+                                failing.readResponse().shouldBeNull()
+                                sound.readResponse().shouldNotBeNull().body shouldBe "done"
+                            }
+                        }
+                    }
+                }
+            }
             it("that is pipelined is answered after the one before it") {
                 withUpstreams({ it.respond("answer to ${it.id}") }) { caller, _ ->
                     caller.send(get("/i/x", "1") + get("/i/x", "2"))
