--- a/review/standin/EndlessStream.java
+++ b/review/standin/EndlessStream.java
@@ -16,8 +16,8 @@
 final class EndlessStream extends Case {
     private static final int CLIENTS = 20;
     private static final int GAP_MILLIS = 100;
-    private static final int STREAMS = 4;
-    private static final long STREAM_GAP_MILLIS = 1_000;
+    private static final int STREAMS = 6;
+    private static final long STREAM_GAP_MILLIS = 800;
     private static final long RUN_MILLIS = 25_000;
     private static final int ROUTE_TIMEOUT_MILLIS = 2_000;
     private static final int SLACK_MILLIS = 500;
