--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -170,6 +170,11 @@
         controls[number].waitFor();
     }
 
+    /** Sends SIGTERM. */
+    void terminateEntry(int number) {
+        entries[number].destroy();
+    }
+
     /** Deletes the data of a control process that has ended, as the loss of its disk does. */
     void loseDisk(int number) throws IOException {
         deleteAll(folder.resolve("disk-" + number));
