--- a/review/standin/EarlyUnframedAnswer.java
+++ b/review/standin/EarlyUnframedAnswer.java
@@ -12,7 +12,7 @@
  */
 final class EarlyUnframedAnswer extends Case {
     private static final int REQUESTS = 6;
-    private static final int BODY_BYTES = 4_000_000;
+    private static final int BODY_BYTES = 4_190_000;
     private static final String FIRST_HALF = "f".repeat(400);
     private static final String WHOLE = FIRST_HALF + "s".repeat(400);
 
@@ -23,7 +23,7 @@
     @Override
     boolean run() throws Exception {
         ServerSocket listener = new ServerSocket();
-        listener.setReceiveBufferSize(65_536);
+        listener.setReceiveBufferSize(16_384);
         listener.bind(new InetSocketAddress("127.0.0.1", 0), 100);
         Http.serve(listener, this::serve);
         String address = "127.0.0.1:" + listener.getLocalPort();
