Replace a lost control replica within the catch-up time of its successor

What callers and operators saw: after a control instance was removed for good and the disk of another one was lost 6 s later, no control instance led any more. The configuration could not be read, no change was acknowledged, and entries kept different versions.

Cause: MembershipPlanner took a voter for lost after 10 s of silence, a constant. The deployment counts a removed instance no longer once its successor has had catch_up_s (4 s), so the next loss met three voters of which one was gone. A new leader, besides, counted the silence of a removed leader only from its own election. That the successor wasn't heard or a change was refused is ruled out: the leader's log has no change of members before the loss.

Change: catch_up_s is a setting of control on the platform, and a voter that was silent for half of it is replaced. A new leader counts the silence of members that have not voted for it from the last contact with a leader. The other half of the time leaves room for an election, three changes of members and the start of the successor.

Failed before: ClusterTest "a cluster whose removed instance was replaced, when a disk is lost after the catch-up time", with the leader and with a follower removed: "no result within 20000 ms", twice.

MembershipPlannerTest passes the catch-up time to forToleratedFailures, which has a parameter more; its checks are the same.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -54,7 +54,7 @@
             ReplicationTiming.FAST_FAILOVER,
             System.nanoTime(),
             ReplicaOutputs(),
-            MembershipPlanner.forToleratedFailures(settings.lostInstances),
+            MembershipPlanner.forToleratedFailures(settings.lostInstances, settings.catchUpMillis),
         )
     private val replicaThread: Duty<ReplicaDutyEvent> = Duty.start("replica", RING_EVENTS, replica::handle)
     private val directoryReader = DirectoryDuty(directorySource, ::onDirectoryRead)
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
@@ -18,6 +18,8 @@
  * @property isFirstStart whether the whole system starts for the first time, with empty disks
  * @property lostInstances the number of control instances that may be lost at once, with their disks, without loss of
  * data
+ * @property catchUpMillis the time from the start of a new control instance after which it has to have taken the place
+ * of a lost one, in milliseconds
  * @property directory the address of the service that lists the upstreams
  * @property leaseMillis how long an earlier sender of orders to engines may still act, in milliseconds
  */
@@ -29,6 +31,7 @@
     val cluster: ClusterAccess,
     val isFirstStart: Boolean,
     val lostInstances: Int,
+    val catchUpMillis: Long,
     val directory: InetSocketAddress,
     val leaseMillis: Long,
 ) {
@@ -36,6 +39,9 @@
     public companion object {
         private const val MAX_LEASE_MILLIS = 600_000L
         private const val MAX_LOST_INSTANCES = 3L
+        private const val MAX_CATCH_UP_SECONDS = 600.0
+        private const val DEFAULT_CATCH_UP_SECONDS = 4.0
+        private const val MILLIS_PER_SECOND = 1_000.0
 
         /** Reads the settings in [document] and adds its problems to [problems]. */
         public fun read(document: IniDocument, problems: ProblemList): ClusterSettings {
@@ -50,6 +56,7 @@
                     cluster = ClusterAccess.read(section),
                     isFirstStart = section.boolean("first_start"),
                     lostInstances = section.integer("lost_instances", 0..MAX_LOST_INSTANCES).toInt(),
+                    catchUpMillis = catchUpMillis(section),
                     directory = section.address("directory"),
                     leaseMillis = section.integer("lease_ms", 1..MAX_LEASE_MILLIS),
                 )
@@ -57,6 +64,14 @@
             return settings
         }
 
+        private fun catchUpMillis(section: SectionReader): Long {
+            val allowed = "a number of seconds from 1 to ${MAX_CATCH_UP_SECONDS.toInt()}"
+            val seconds = section.parsed("catch_up_s", DEFAULT_CATCH_UP_SECONDS, allowed) { text ->
+                text.toDoubleOrNull()?.takeIf { it in 1.0..MAX_CATCH_UP_SECONDS }
+            }
+            return ((seconds ?: DEFAULT_CATCH_UP_SECONDS) * MILLIS_PER_SECOND).toLong()
+        }
+
         private fun <T : Any> name(section: SectionReader, key: String, parse: (String) -> T?): T? =
             section.parsed(key, null, "a name of 1 to 64 letters, digits, '.', '_' or '-'", parse)
     }
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -41,6 +41,8 @@
         EngineControl.OrderResult.Refused("no engines")
 }
 
+private const val CATCH_UP_MILLIS = 4_000L
+
 private class Cluster : AutoCloseable {
     private val port = ServerSocket(0).use { it.localPort }
     private val root: Path = Files.createTempDirectory("cluster")
@@ -62,6 +64,7 @@
                 ),
                 isFirstStart = isFirstStart,
                 lostInstances = 1,
+                catchUpMillis = CATCH_UP_MILLIS,
                 directory = InetSocketAddress("127.0.0.1", 1),
                 leaseMillis = 3_000,
             )
@@ -185,4 +188,27 @@
                 }
             }
         }
+        // A removed instance stayed a voter for 10 s after its successor had started, and the next lost disk ended the
+        // quorum.
+        describe("a cluster whose removed instance was replaced, when a disk is lost after the catch-up time") {
+            listOf("the leader" to true, "a follower" to false).forEach { (name, isLeader) ->
+                it("keeps its configuration: $name was removed") {
+                    Cluster().use { cluster ->
+                        (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                        cluster.store("5 five") shouldBe RouteStoreResult.Stored(5)
+                        val leader = cluster.leader()
+                        val removed = (1..3).first { (it == leader) == isLeader }
+                        cluster.stop(removed)
+                        cluster.start(4, isFirstStart = false)
+                        Thread.sleep(CATCH_UP_MILLIS)
+                        val wiped = (1..3).first { it != removed }
+                        cluster.stop(wiped)
+                        cluster.wipe(wiped)
+                        cluster.start(wiped, isFirstStart = false)
+                        cluster.read() shouldBe "5 five"
+                        cluster.store("6 six") shouldBe RouteStoreResult.Stored(6)
+                    }
+                }
+            }
+        }
     })
--- a/core/src/main/kotlin/marigoldward/core/replication/MembershipPlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/MembershipPlanner.kt
@@ -13,8 +13,8 @@
  * The planner doesn't check whether a change is safe: [Replica.step] refuses changes that put the quorum at risk.
  *
  * @property targetVoters the intended number of voters; odd
- * @property replaceAfterMillis how long a voter may be silent before it is replaced, in milliseconds; must exceed the
- * time of a restart or of a network partition that needs no replacement
+ * @property replaceAfterMillis how long a voter may be silent before it is replaced, in milliseconds; a silent voter that
+ * isn't replaced counts as failed, so that the cluster tolerates one failure less
  */
 public data class MembershipPlanner(val targetVoters: Int, val replaceAfterMillis: Long) {
     /** A replica that has asked to become a member. */
@@ -96,15 +96,20 @@
         private const val MAX_VOTERS = 7
         private const val VOTERS_PER_FAILURE = 2
 
-        /** Twice the time that a replica needs to restart and catch up. */
-        private const val REPLACE_AFTER_MILLIS = 10_000L
+        /** The other half of the catch-up time is left for an election and for the changes of members. */
+        private const val CATCH_UP_TIME_DIVISOR = 2
 
         /**
          * Returns the planner for a cluster that stays available when [failures] replicas fail at the same time.
          *
          * The number of voters is limited to seven, which tolerates three failures.
+         *
+         * @param catchUpMillis the time from the start of a new replica after which it has to be a voter in the place
+         * of a lost one, since another replica may fail then, in milliseconds
          */
-        public fun forToleratedFailures(failures: Int): MembershipPlanner =
-            MembershipPlanner(minOf(MAX_VOTERS, VOTERS_PER_FAILURE * failures + 1), REPLACE_AFTER_MILLIS)
+        public fun forToleratedFailures(failures: Int, catchUpMillis: Long): MembershipPlanner = MembershipPlanner(
+            targetVoters = minOf(MAX_VOTERS, VOTERS_PER_FAILURE * failures + 1),
+            replaceAfterMillis = catchUpMillis / CATCH_UP_TIME_DIVISOR,
+        )
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
@@ -54,7 +54,7 @@
     /** Creates states. */
     public companion object {
         /** Stands for an event that has not occurred: a time long before any that the monotonic clock returns. */
-        private const val NEVER_MILLIS = -1_000_000_000L
+        internal const val NEVER_MILLIS = -1_000_000_000L
 
         /**
          * Returns the state of a replica that starts with the persisted [hardState] and [log].
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderReplication.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderReplication.kt
@@ -22,9 +22,8 @@
     private const val MAX_APPEND_BYTES = 1_048_576L
 
     fun becomeLeader(state: ReplicaState, nowMillis: Long): ReplicaStep {
-        val initial = ReplicaRole.Progress(0, state.log.lastIndex + 1, nowMillis, 0)
         val others = state.log.members.all - state.self
-        val progress = others.associateWith { initial }.toPersistentMap()
+        val progress = others.associateWith { initialProgress(state, it, nowMillis) }.toPersistentMap()
         val role = ReplicaRole.Leader(progress, 0, nowMillis + state.timing.heartbeatMillis, persistentListOf())
         val leader = state.copy(role = role).withActions(ReplicaAction.LeadershipGained)
         return leader
@@ -117,6 +116,18 @@
     ): ReplicaRole.Progress =
         progress.copy(nextIndex = maxOf(progress.matchIndex, minOf(reply.matchIndex, progress.nextIndex - 1)) + 1)
 
+    /**
+     * Counts a member that has voted for this leader as having replied now. Any other one may have been silent since
+     * the last contact with a leader, which may have been that member.
+     */
+    private fun initialProgress(state: ReplicaState, member: ReplicaId, nowMillis: Long): ReplicaRole.Progress {
+        val votes = (state.role as? ReplicaRole.Candidate)?.votes.orEmpty()
+        val hadLeader = state.lastLeaderContactMillis != ReplicaState.NEVER_MILLIS
+        val lastReplyMillis =
+            if (member in votes || !hadLeader) nowMillis else minOf(nowMillis, state.lastLeaderContactMillis)
+        return ReplicaRole.Progress(0, state.log.lastIndex + 1, lastReplyMillis, 0)
+    }
+
     private fun append(state: ReplicaState, payload: EntryPayload): ReplicaStep {
         val entry = LogEntry(state.log.lastIndex + 1, state.hardState.term, payload)
         return state.copy(log = state.log.plus(entry)).withActions(ReplicaAction.PersistEntries(listOf(entry)))
--- a/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
@@ -30,6 +30,7 @@
 }
 
 private const val NOW_MILLIS = 20_000L
+private const val CATCH_UP_MILLIS = 4_000L
 
 class MembershipPlannerTest :
     DescribeSpec({
@@ -94,11 +95,18 @@
                     MemberChange.Remove(id("c", 7))
             }
         }
+        // A removed voter was kept for 10 s, so that the loss of one more disk ended the quorum.
+        describe("the time until a silent voter is replaced") {
+            it("leaves half of the time in which a new replica has to catch up for the changes") {
+                MembershipPlanner.forToleratedFailures(1, CATCH_UP_MILLIS).replaceAfterMillis shouldBe 2_000
+                MembershipPlanner.forToleratedFailures(2, 6_000).replaceAfterMillis shouldBe 3_000
+            }
+        }
         describe("the number of voters") {
             it("tolerates the given number of failures and is at most seven") {
-                MembershipPlanner.forToleratedFailures(1).targetVoters shouldBe 3
-                MembershipPlanner.forToleratedFailures(2).targetVoters shouldBe 5
-                MembershipPlanner.forToleratedFailures(9).targetVoters shouldBe 7
+                MembershipPlanner.forToleratedFailures(1, CATCH_UP_MILLIS).targetVoters shouldBe 3
+                MembershipPlanner.forToleratedFailures(2, CATCH_UP_MILLIS).targetVoters shouldBe 5
+                MembershipPlanner.forToleratedFailures(9, CATCH_UP_MILLIS).targetVoters shouldBe 7
             }
         }
     })
