Take only what ends for certain once callers know of a shutdown

Cause: ShutdownAdmission took a request if its deadline or the longest recent request of its route, by half more, ended before the entry, for as long as connections came. So an estimate decided over the deadline. That the streams came in on another way is ruled out: each was admitted by this condition.

Change: the estimate counts only until callers have been sent elsewhere (2.5 s after SIGTERM, or half of the grace period). Later, a request whose deadline is beyond the exit is refused as not run, which its caller may send again at once.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/ShutdownAdmission.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/ShutdownAdmission.kt
@@ -4,7 +4,8 @@
  * Decides which requests a gateway that is shutting down still takes: those that end before the gateway does.
  *
  * A request ends at its deadline at the latest, but most end much earlier. The longest recent request of the same route,
- * with a margin, bounds how long a request is expected to take.
+ * with a margin, estimates how long a request takes. Only the deadline is certain: a request that outlasts its estimate
+ * is cut off. So the estimate counts only while callers can't have heard of the shutdown yet.
  */
 public class ShutdownAdmission {
     private val longestByRoute = HashMap<String, RecentMaximum>()
@@ -20,14 +21,24 @@
     }
 
     /**
-     * Returns whether a request on [route] that has [remainingMillis] until its deadline is expected to end within
-     * [untilExitMillis], the time until the gateway ends its requests. If no request of the route has ended recently,
-     * only the deadline counts.
+     * Returns whether to take a request on [route] that has [remainingMillis] until its deadline, when the gateway ends
+     * its requests in [untilExitMillis].
+     *
+     * A request that may last longer than that is taken if [acceptsEstimate] is set and it is expected to end in time.
+     * Without a recent request of the route there is no estimate.
      */
-    public fun admits(route: String, remainingMillis: Long, untilExitMillis: Long, nowMillis: Long): Boolean {
-        val longestMillis = longestByRoute[route]?.valueOrNull(nowMillis)
-        val expectedMillis = longestMillis?.let { (it * MARGIN_FACTOR).toLong() + MARGIN_MILLIS } ?: Long.MAX_VALUE
-        return minOf(remainingMillis, expectedMillis) <= untilExitMillis
+    public fun admits(
+        route: String,
+        remainingMillis: Long,
+        untilExitMillis: Long,
+        acceptsEstimate: Boolean,
+        nowMillis: Long,
+    ): Boolean = remainingMillis <= untilExitMillis ||
+        (acceptsEstimate && expectedMillis(route, nowMillis) <= untilExitMillis)
+
+    private fun expectedMillis(route: String, nowMillis: Long): Long {
+        val longestMillis = longestByRoute[route]?.valueOrNull(nowMillis) ?: return Long.MAX_VALUE
+        return (longestMillis * MARGIN_FACTOR).toLong() + MARGIN_MILLIS
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -20,8 +20,9 @@
     private val gracePeriodMillis: Long,
 ) {
     /**
-     * Takes requests that are expected to end in time, closes each connection after its response, and returns when all
-     * requests have ended. Those that are in progress when the grace period is nearly over are ended by the gateway.
+     * Takes requests that end in time, closes each connection after its response, and returns when all requests have
+     * ended. Until callers have been sent elsewhere, takes requests that are only expected to end in time too. Those
+     * that are in progress when the grace period is nearly over are ended by the gateway.
      */
     fun run() {
         val exitMillis = MonotonicClock.nowMillis() + gracePeriodMillis - EXIT_MARGIN_MILLIS
@@ -31,7 +32,10 @@
         }
         log.info("ending")
         Thread.sleep(minOf(gracePeriodMillis / 2, READINESS_PROPAGATION_MILLIS))
-        onLoop(callerServer::closeIdle)
+        onLoop {
+            gateway.stopAcceptingEstimates()
+            callerServer.closeIdle()
+        }
         awaitRequests(exitMillis)
         // A request that arrives before the listening socket is closed is served like those before it.
         onLoop {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -21,12 +21,18 @@
 
     /** When the requests in progress are ended, in milliseconds of monotonic time, or null if no shutdown has begun. */
     private var exitMillis: Long? = null
+    private var acceptsEstimates = true
 
     /** Takes only requests that are expected to end before [exitMillis], from now on. */
     fun beginShutdown(exitMillis: Long) {
         this.exitMillis = exitMillis
     }
 
+    /** Takes only requests that end before the exit for certain, from now on. Callers have other gateways to go to. */
+    fun stopAcceptingEstimates() {
+        acceptsEstimates = false
+    }
+
     /** Ends the requests in progress. */
     fun endRequests() = context.endSessionsForExit()
 
@@ -57,7 +63,7 @@
         val service = configuration.services.getValue(route.serviceFor(random.nextDouble()).service)
         val timeoutMillis = minOf(route.timeoutMillis, metadata.deadlineMillis ?: Long.MAX_VALUE)
         val deadlineMillis = exchange.request.arrivedMillis + timeoutMillis
-        if (!isExpectedToEndBeforeExit(route, deadlineMillis)) {
+        if (!isAdmitted(route, deadlineMillis)) {
             sendNotRun(exchange, metadata, SessionEnd.NotRun.BY_SHUTDOWN)
             return
         }
@@ -65,10 +71,12 @@
         newSession(request, route, service).start()
     }
 
-    private fun isExpectedToEndBeforeExit(route: Route, deadlineMillis: Long): Boolean {
-        val untilExitMillis = (exitMillis ?: return true) - context.nowMillis()
-        val remainingMillis = deadlineMillis - context.nowMillis()
-        return context.shutdownAdmission.admits(route.name, remainingMillis, untilExitMillis, context.nowMillis())
+    private fun isAdmitted(route: Route, deadlineMillis: Long): Boolean {
+        val nowMillis = context.nowMillis()
+        val untilExitMillis = (exitMillis ?: return true) - nowMillis
+        val remainingMillis = deadlineMillis - nowMillis
+        return context.shutdownAdmission
+            .admits(route.name, remainingMillis, untilExitMillis, acceptsEstimates, nowMillis)
     }
 
     private fun newSession(request: SessionRequest, route: Route, service: ServiceDeclaration): Session =
--- a/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
@@ -16,6 +16,8 @@
 
 private const val GRACE_MILLIS = 3_000L
 private const val ANSWER_MILLIS = 700L
+private const val EVENT_GAP_MILLIS = 100L
+private const val LONG_STREAM_EVENTS = 22
 
 /** How a request ended for its caller. */
 private data class Ending(val sentMillis: Long, val status: Int?, val isComplete: Boolean, val closes: Boolean)
@@ -145,6 +147,35 @@
                 }
             }
         }
+        // A stopping gateway took streams by the length of earlier ones and cut off those that lasted longer.
+        describe("a stream that lasts longer than any before it on its route") {
+            it("is refused as not run once callers have been sent elsewhere, and is not cut off") {
+                val upstream = FakeUpstream { call ->
+                    call.write("HTTP/1.1 200 OK\r\nX-Id: ${call.id}\r\nX-Signed: s\r\n")
+                    call.write("Transfer-Encoding: chunked\r\n\r\n")
+                    val events = if (call.id.startsWith("short")) 1 else LONG_STREAM_EVENTS
+                    repeat(events) {
+                        call.write("7\r\ndata:\n\n\r\n")
+                        Thread.sleep(EVENT_GAP_MILLIS)
+                    }
+                    call.write("0\r\n\r\n")
+                }
+                TestGateway(listOf(upstream.address to EngineStage.DECODE), timeoutMillis = 8_000).use { gateway ->
+                    val startNanos = System.nanoTime()
+                    gateway.caller().use { it.exchange("/s/x", "short", startNanos).status shouldBe 200 }
+                    val busy = thread { gateway.caller().use { it.exchange("/s/x", "long-0", startNanos) } }
+                    Thread.sleep(200)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    Thread.sleep(GRACE_MILLIS / 2 + 200)
+                    val late = gateway.caller().use { it.exchange("/s/x", "late", startNanos) }
+                    shutdown.join()
+                    busy.join()
+                    late.status shouldBe 503
+                    upstream.calls.map { it.id } shouldBe listOf("short", "long-0")
+                }
+                upstream.close()
+            }
+        }
         describe("a connection that the gateway has not accepted when it stops listening") {
             it("is reset, and its request is not forwarded") {
                 FakeUpstream { it.respond("done") }.use { upstream ->
