Don't close a connection whose first request is on its way

Cause: closeIdle() takes each connection without a request for idle, also one that was accepted and not read from yet, and then drops what comes on it. The review suspected it by reading; the new test runs closeIdle() between the two on the event loop and shows it.

Change: a connection that was accepted within the last 500 ms and has sent nothing isn't closed as idle, and a stopping gateway waits for it. It is closed at the end if no request comes.

Failed before: GracefulShutdownTest "a connection that is accepted just before the idle ones are closed gets the answer to its request": the end of the connection in place of an answer.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -44,7 +44,10 @@
         }
         awaitRequests(exitMillis)
         val requestsLeft = hasRequestsInProgress()
-        onLoop(gateway::endRequests)
+        onLoop {
+            gateway.endRequests()
+            callerServer.closeIdle()
+        }
         Thread.sleep(FLUSH_MILLIS)
         log.info("ended") { field("requests_left", requestsLeft) }
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -37,6 +37,8 @@
     private var isClosing = false
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
+    private val acceptedMillis = MonotonicClock.nowMillis()
+    private var hasReceivedBytes = false
 
     private class IncomingRequest(
         val head: RequestHead,
@@ -52,9 +54,13 @@
     /** Whether no request is being received or handled. */
     val isIdle: Boolean get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null
 
-    /** Closes the connection if it is idle. */
+    /** Whether nothing was received yet on a connection so new that its first request is probably on its way. */
+    val isAwaitingFirstRequest: Boolean
+        get() = !hasReceivedBytes && MonotonicClock.nowMillis() - acceptedMillis < FIRST_REQUEST_MILLIS
+
+    /** Closes the connection if it is idle, unless it is awaiting its first request. */
     fun closeIfIdle() {
-        if (isIdle) closeGracefully()
+        if (isIdle && !isAwaitingFirstRequest) closeGracefully()
     }
 
     /** Closes the connection at once with a TCP reset. */
@@ -94,6 +100,7 @@
 
     /** Starts the time limit for the request head. Called when bytes were received, before they are decoded. */
     fun onBytesReceived() {
+        hasReceivedBytes = true
         if (incoming == null && headStartedMillis == null) headStartedMillis = MonotonicClock.nowMillis()
     }
 
@@ -276,6 +283,9 @@
         const val HEADERS_TOO_LARGE = 431
         const val NO_CONTENT = 204
 
+        /** How long the request for which a caller has opened a connection takes to arrive, at most. */
+        const val FIRST_REQUEST_MILLIS = 500L
+
         /** How long the caller has to read the last response before the connection is closed. */
         const val LINGER_MILLIS = 1_000L
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -35,8 +35,8 @@
     /** Whether connections are closed after their current response. */
     var isDraining: Boolean = false
 
-    /** Whether any connection is not idle. */
-    val isBusy: Boolean get() = connections.any { !it.isIdle }
+    /** Whether any connection is not idle, or is awaiting its first request. */
+    val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingFirstRequest }
 
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
@@ -60,7 +60,7 @@
         listenChannel?.close()
     }
 
-    /** Closes the idle connections. */
+    /** Closes the idle connections, but for those that are awaiting their first request. */
     fun closeIdle() {
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
@@ -193,6 +193,35 @@
                 }
             }
         }
+        // A stopping gateway closed a connection that it had accepted and not read from yet, without an answer.
+        describe("a connection that is accepted just before the idle ones are closed") {
+            it("gets the answer to its request") {
+                FakeUpstream { it.respond("done") }.use { upstream ->
+                    TestGateway(listOf(upstream.address to null)).use { gateway ->
+                        lateinit var caller: RawCaller
+                        gateway.onLoop {
+                            caller = gateway.caller()
+                            caller.send(request("/i/x", "1"))
+                            gateway.afterNextAccept(gateway.server::closeIdle)
+                        }
+                        caller.use { it.readResponse().shouldNotBeNull().status shouldBe 200 }
+                    }
+                }
+            }
+            it("is closed before the end of the grace period if no request comes") {
+                FakeUpstream { it.respond("done") }.use { upstream ->
+                    TestGateway(listOf(upstream.address to null)).use { gateway ->
+                        val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                        Thread.sleep(GRACE_MILLIS / 2 - 100)
+                        gateway.caller().use { caller ->
+                            shutdown.join(GRACE_MILLIS)
+                            shutdown.isAlive shouldBe false
+                            caller.isClosed() shouldBe true
+                        }
+                    }
+                }
+            }
+        }
         describe("a gateway without requests") {
             it("shuts down before its grace period is over, and lets no connection pass without an end") {
                 FakeUpstream(::answerSlowly).use { upstream ->
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -24,6 +24,7 @@
 import marigoldward.gateway.upstream.UpstreamPool
 import java.io.Closeable
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /**
@@ -76,8 +77,13 @@
     /** Runs [action] on the event loop thread and returns its result. */
     fun <T> onLoop(action: () -> T): T = loop.submit(action).get()
 
+    /** Runs [action] on the event loop thread after the connections that wait now are accepted, before any is read. */
+    fun afterNextAccept(action: () -> Unit) {
+        loop.schedule(action, 0, TimeUnit.MILLISECONDS)
+    }
+
     override fun close() {
-        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS).sync()
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync()
     }
 
     private fun listed(index: Int, address: String, stage: EngineStage?) =
