Tell a reset from the end of an answer without a length

Cause: the reset was met by the write of the request. Netty then closes the channel and reports only channelInactive, as after an orderly end, at which the decoder ends an answer without a length. A reset that a read meets comes as an exception first and was handled. That the session dropped a failure is ruled out: it got none.

Change: UpstreamChannel records that a read has reached the end of what the upstream sends. An answer that ends with its connection without that is a lost connection. The same cause in the OpenAI entry: OkHttp reads the answer after a failed write, and ServiceClient took what came; it now treats an answer without a length as broken then.

--- a/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
@@ -9,6 +9,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
 import okhttp3.internal.http.HttpMethod
 import java.io.IOException
 import java.util.concurrent.TimeUnit
@@ -59,13 +60,21 @@
                 if (answeredId != null && answeredId != call.id.text) {
                     return Outcome.Failure(AttemptFailure.Broken("the answer is for $answeredId", isCrash = false))
                 }
-                Outcome.Success(ServiceAnswer(response.code, response.headers, response.boundedBytes()))
+                val answer = ServiceAnswer(response.code, response.headers, response.boundedBytes())
+                if (transmission.hasFailed && !isFramed(response)) {
+                    return Outcome.Failure(toAttemptFailure(service, transmission, IOException(LOST_CONNECTION)))
+                }
+                Outcome.Success(answer)
             }
         } catch (failure: IOException) {
             Outcome.Failure(toAttemptFailure(service, transmission, failure))
         }
     }
 
+    /** Whether the end of the body can be told from the end of the connection. */
+    private fun isFramed(response: Response): Boolean =
+        response.header("Content-Length") != null || response.header("Transfer-Encoding") == "chunked"
+
     private fun bodyOf(call: ServiceCall): RequestBody? = if (HttpMethod.permitsRequestBody(call.method)) {
         call.body.toRequestBody(call.contentType?.toMediaTypeOrNull())
     } else {
@@ -81,4 +90,8 @@
         if (!transmission.hasStarted) return AttemptFailure.NotRun(reason, isUpstreamFault = true)
         return AttemptFailure.Broken(reason, crashDetector.hasCrashed(service))
     }
+
+    private companion object {
+        const val LOST_CONNECTION = "the connection was lost within the answer"
+    }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -1,7 +1,6 @@
 package marigoldward.gateway.upstream
 
 import io.netty.buffer.ByteBufUtil
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.TooLongFrameException
@@ -23,7 +22,7 @@
  * A response to another request is skipped. Bytes that arrive while there is no call close the connection.
  */
 internal class UpstreamConnection(
-    private val channel: Channel,
+    private val channel: UpstreamChannel,
     private val decoder: ResponseDecoder,
     private val dialect: Dialect,
     private val onIdle: (UpstreamConnection) -> Unit,
@@ -46,6 +45,12 @@
 
     val isOpen: Boolean get() = channel.isActive
 
+    /**
+     * Whether a response that ends now may be incomplete. One with a length or chunks ends while the channel is active;
+     * any other ends with its connection, which must have ended in order.
+     */
+    private val endsByLostConnection: Boolean get() = !channel.isActive && !channel.hasReachedEnd
+
     /** Sends the request of [next]. */
     fun send(next: UpstreamCall) {
         check(call == null) { "the connection to ${next.upstream.id} already carries a call" }
@@ -134,7 +139,11 @@
         if (isSkippingResponse) {
             isSkippingResponse = false
         } else if (hasResponseHead) {
-            finish(current)
+            if (endsByLostConnection) {
+                fail(UpstreamFailure.ConnectionLost("the connection was reset within the answer"))
+            } else {
+                finish(current)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -1,11 +1,10 @@
 package marigoldward.gateway.upstream
 
 import io.netty.bootstrap.Bootstrap
-import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.socket.nio.NioSocketChannel
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.Dialect
@@ -19,7 +18,7 @@
     private val bootstrap =
         Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel::class.java)
+            .channelFactory(ChannelFactory { UpstreamChannel() })
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 
@@ -106,8 +105,8 @@
     }
 
     private inner class Initializer(private val id: UpstreamId, private val decoder: ResponseDecoder) :
-        ChannelInitializer<Channel>() {
-        override fun initChannel(channel: Channel) {
+        ChannelInitializer<UpstreamChannel>() {
+        override fun initChannel(channel: UpstreamChannel) {
             val connection =
                 UpstreamConnection(
                     channel = channel,
