Bound the work and the memory that one stream takes of an entry

Cause: EventSplitter ended an event at each empty line. One turn of the event loop reads up to 16 times 64 KB: a million events, each with an array, a text, a write and a flush. The writes piled up in the outbound buffer of the caller's connection, since nothing stopped the reading, on a heap of 96 MB. Events of three bytes took the same path.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -86,6 +86,10 @@
         abandoned?.onCallerGone?.invoke()
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) current?.onWritable?.invoke()
+    }
+
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
     }
@@ -230,6 +234,8 @@
     private inner class Exchange(private val received: IncomingRequest) : CallerExchange {
         override val request: CallerRequest = received.toRequest()
         override var onCallerGone: () -> Unit = {}
+        override var onWritable: () -> Unit = {}
+        override val isWritable: Boolean get() = context.channel().isWritable
         private val isHead = request.head.method == "HEAD"
 
         private val isCurrent: Boolean get() = current === this
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerExchange.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerExchange.kt
@@ -9,6 +9,12 @@
     /** Called once if the caller closes the connection before the response has ended. */
     var onCallerGone: () -> Unit
 
+    /** Whether the caller takes what is sent; if not, it piles up in memory. */
+    val isWritable: Boolean
+
+    /** Called each time when [isWritable] becomes `true` again. */
+    var onWritable: () -> Unit
+
     /** Sends a complete response. */
     fun respond(head: ResponseHead, body: ByteArray)
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -11,6 +11,7 @@
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.gateway.upstream.UpstreamFailure
+import java.io.ByteArrayOutputStream
 
 /**
  * A request whose response is a stream of events, each of which is forwarded as soon as it is complete.
@@ -288,7 +289,7 @@
 
         override fun onData(data: ByteArray) {
             if (!isCurrent) return
-            if (isStream) splitter.feed(data).forEach(::forward) else super.onData(data)
+            if (isStream) forward(splitter.feed(data)) else super.onData(data)
         }
 
         override fun onEnd() {
@@ -306,15 +307,31 @@
             onAttemptFailed(attempt(), failure.end, failure.reason)
         }
 
-        /** Forwards [event] to the caller, unless the caller received it from an earlier engine. */
-        private fun forward(event: EventSplitter.Event) {
-            if (!isCurrent || isDelivered(event)) return
+        /**
+         * Forwards those of [events] that the caller has not received from an earlier engine, in one write. Reads no
+         * more of the stream until the caller has taken enough of it.
+         */
+        private fun forward(events: List<EventSplitter.Event>) {
+            val bytes = ByteArrayOutputStream()
+            events.forEach { event ->
+                if (isDelivered(event)) return@forEach
+                lastEventId = event.id ?: lastEventId
+                bytes.writeBytes(event.bytes)
+            }
+            if (bytes.size() == 0) return
             if (suspectsAtFirstEvent == null) suspectsAtFirstEvent = currentSuspects()
             attempt().recordPromptReady()
+            sendPart(bytes.toByteArray())
+            if (!request.exchange.isWritable) {
+                attempt().pauseReading()
+                request.exchange.onWritable = attempt()::resumeReading
+            }
+        }
+
+        private fun sendPart(bytes: ByteArray) {
             beginResponse()
             recordPartSent()
-            lastEventId = event.id ?: lastEventId
-            request.exchange.sendPart(event.bytes)
+            request.exchange.sendPart(bytes)
         }
 
         private fun isDelivered(event: EventSplitter.Event): Boolean {
@@ -333,7 +350,8 @@
         private fun onStreamEnded() {
             attempt().recordEnd(AttemptEnd.ANSWERED, "")
             suspectsAtFirstEvent?.let(::recordAnswered)
-            beginResponse()
+            val rest = splitter.takeRest()
+            if (rest.isEmpty()) beginResponse() else sendPart(rest)
             recordOutcome("answered", head.status)
             request.exchange.endResponse()
         }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -86,6 +86,16 @@
         SessionLog.attemptEnded(request, attempt, end, reason, nowMillis)
     }
 
+    /** Reads no more of the response until [resumeReading], so that the upstream has to wait. */
+    fun pauseReading() {
+        call?.pauseReading()
+    }
+
+    /** Reads on after [pauseReading]. */
+    fun resumeReading() {
+        call?.resumeReading()
+    }
+
     /** Records [end] and closes the connection, so that the upstream stops working on the request. */
     fun cancel(end: AttemptEnd, reason: String) {
         recordEnd(end, reason)
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
@@ -30,6 +30,16 @@
         connection?.close()
     }
 
+    /** Reads no more of the response until [resumeReading]. Has no effect after the end of the call. */
+    fun pauseReading() {
+        connection?.setReading(this, isReading = false)
+    }
+
+    /** Reads on after [pauseReading]. Has no effect after the end of the call. */
+    fun resumeReading() {
+        connection?.setReading(this, isReading = true)
+    }
+
     internal fun attachTo(connection: UpstreamConnection) {
         this.connection = connection
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -75,6 +75,11 @@
         channel.close()
     }
 
+    /** Reads the response to [carried] or stops reading it. Does nothing unless the connection carries that call. */
+    fun setReading(carried: UpstreamCall, isReading: Boolean) {
+        if (call === carried) channel.config().isAutoRead = isReading
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpObject) handle(message)
@@ -156,6 +161,8 @@
 
     private fun finish(current: UpstreamCall) {
         call = null
+        // An idle connection has to notice that the upstream closes it.
+        channel.config().isAutoRead = true
         if (isReusable && isRequestWritten && channel.isActive) onIdle(this) else channel.close()
         current.listener.onEnd()
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -32,6 +32,9 @@
     /** Returns everything until the peer closes the connection; throws a `SocketException` if it resets it. */
     fun readToEnd(): String = String(input.readAllBytes(), Charsets.ISO_8859_1)
 
+    /** Reads [byteCount] bytes and drops them. */
+    fun skip(byteCount: Long) = input.skipNBytes(byteCount)
+
     /** Whether the peer has closed the connection. */
     fun isClosed(): Boolean = runCatching { input.read() < 0 }.getOrDefault(true)
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/EndlessResponseTest.kt
@@ -8,10 +8,14 @@
 import marigoldward.gateway.FakeUpstream
 import marigoldward.gateway.TestGateway
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 
 /** The limit of a body that the gateway keeps in memory, and of what lies in the buffers of the sockets. */
 private const val MAX_ACCEPTED_BYTES = 16L * 1024 * 1024
 private const val BLOCK_BYTES = 65_536
+private const val ENDLESS_STREAMS = 4
+private const val ROUTE_TIMEOUT_MILLIS = 2_000L
+private const val UNFRAMED_HEAD = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\n\r\n"
 private const val SIGNED_HEAD = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n"
 
 private fun request(path: String): String =
@@ -86,4 +90,61 @@
                 acceptedBytes shouldBeLessThan MAX_ACCEPTED_BYTES
             }
         }
+        // A stream of newlines without end was split into a million events a turn, and the event loop did nothing else.
+        describe("streams without end") {
+            listOf("of empty lines" to "\n", "of tiny events" to "a\n\n").forEach { (name, unit) ->
+                it("$name don't keep other requests from being answered in time") {
+                    val block = unit.repeat(BLOCK_BYTES / unit.length)
+                    val script: (FakeUpstream.Call) -> Unit = { call ->
+                        if (call.id == "1") {
+                            call.writeWithoutEnd(UNFRAMED_HEAD, block)
+                        } else {
+                            call.respond("data: done\n\n")
+                        }
+                    }
+                    val upstreams = List(2) { FakeUpstream(script) }
+                    val addresses = upstreams.map { it.address to EngineStage.DECODE }
+                    TestGateway(addresses, timeoutMillis = ROUTE_TIMEOUT_MILLIS).use { gateway ->
+                        repeat(ENDLESS_STREAMS) {
+                            thread(isDaemon = true) {
+                                gateway.caller().use { caller ->
+                                    caller.send(request("/s/x"))
+                                    runCatching { caller.skip(Long.MAX_VALUE) }
+                                }
+                            }
+                        }
+                        repeat(10) {
+                            val startNanos = System.nanoTime()
+                            gateway.caller().use { caller ->
+                                caller.send(request("/i/x").replace("X-Id: 1", "X-Id: 2"))
+                                caller.readResponse().shouldNotBeNull().status shouldBe 200
+                            }
+                            (System.nanoTime() - startNanos) / 1_000_000 shouldBeLessThan ROUTE_TIMEOUT_MILLIS
+                        }
+                    }
+                    upstreams.forEach(FakeUpstream::close)
+                }
+            }
+            // What a caller didn't take piled up in the memory of the gateway.
+            it("are read only as fast as their caller takes them") {
+                val accepted = AtomicLong()
+                val block = "data: ${"x".repeat(1_000)}\n\n".repeat(64).toByteArray()
+                FakeUpstream { call ->
+                    call.write(UNFRAMED_HEAD)
+                    while (true) {
+                        call.socket.getOutputStream().write(block)
+                        accepted.addAndGet(block.size.toLong())
+                    }
+                }.use { upstream ->
+                    TestGateway(listOf(upstream.address to EngineStage.DECODE), timeoutMillis = 4_000).use { gateway ->
+                        gateway.caller().use { caller ->
+                            caller.send(request("/s/x"))
+                            Thread.sleep(2_000)
+                            accepted.get() shouldBeLessThan MAX_ACCEPTED_BYTES
+                            caller.skip(2 * MAX_ACCEPTED_BYTES)
+                        }
+                    }
+                }
+            }
+        }
     })
