Handle SIGHUP from the first call of main, and keep changes during the start

What operators see: a process ends by itself when its settings file changes soon after it was started.

Cause: the handler was installed when the whole program had started; until then the runtime's own handler ends the process with exit code 129. A change of the settings between the first reading and the start of the watch was never applied, as the watch took the changed text for that in force. A file with zeros (as after a loss of power) threw from the reader of control settings, which ended the start with a stack trace and the watch for good.

It depends on no logging, and keeps a signal until the watch exists, which starts from the text that the process has read. Between exec and main the default action is still in force; no code of ours runs there.

--- a/control/src/main/kotlin/marigoldward/control/Main.kt
+++ b/control/src/main/kotlin/marigoldward/control/Main.kt
@@ -8,6 +8,7 @@
 import marigoldward.control.storage.toMessage
 import marigoldward.core.Outcome
 import marigoldward.core.replication.ReplicaId
+import marigoldward.support.program.HangupSignal
 import marigoldward.support.program.Program
 import marigoldward.support.settings.SettingsProblem
 import java.io.File
@@ -18,6 +19,7 @@
 
 /** Runs a control instance. With `--init-new-cluster`, only prepares its data folder. */
 public fun main(arguments: Array<String>) {
+    HangupSignal.install()
     if (arguments.singleOrNull() == "--version") Program.printVersion(PROGRAM)
     val parser = ArgParser(PROGRAM)
     val settingsFile by parser
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -49,9 +49,12 @@
     }
 
     /** Returns the settings that [read] gets from [file]. If there are problems, prints all and ends the process. */
-    public fun <T> loadSettings(file: File, read: (IniDocument, ProblemList) -> T): T {
-        val source = readSource(file)
-        return when (val document = IniDocument.parse(source)) {
+    public fun <T> loadSettings(file: File, read: (IniDocument, ProblemList) -> T): T =
+        loadSettings(readSource(file), read)
+
+    /** Returns the settings that [read] gets from [source]. If there are problems, prints all and ends the process. */
+    public fun <T> loadSettings(source: SourceFile, read: (IniDocument, ProblemList) -> T): T =
+        when (val document = IniDocument.parse(source)) {
             is Outcome.Failure -> exitWithProblems(document.error)
             is Outcome.Success -> {
                 val problems = ProblemList.create()
@@ -60,13 +63,12 @@
                 settings
             }
         }
-    }
 
-    /** Returns the settings in [text], the new content of [file], or logs a problem and returns null if invalid. */
-    public fun <T> reloadSettings(file: File, text: String, read: (IniDocument, ProblemList) -> T): T? {
+    /** Returns the settings in [source], the new content of a file, or logs a problem and returns null if invalid. */
+    public fun <T> reloadSettings(source: SourceFile, read: (IniDocument, ProblemList) -> T): T? {
         val problems = ProblemList.create()
         val settings =
-            when (val document = IniDocument.parse(SourceFile(file.path, text))) {
+            when (val document = IniDocument.parse(source)) {
                 is Outcome.Failure -> null.also {
                     document.error.forEach { problems.add(it.file, it.line, it.message) }
                 }
@@ -111,7 +113,8 @@
         exitProcess(EXIT_USAGE)
     }
 
-    private fun readSource(file: File): SourceFile = try {
+    /** Returns the content of the settings file [file]. If it can't be read, prints that and ends the process. */
+    public fun readSource(file: File): SourceFile = try {
         SourceFile(file.path, file.readText())
     } catch (failure: IOException) {
         exitWithProblems(listOf(SettingsProblem(file.path, 0, "cannot be read: ${failure.message}")))
--- a/support/src/main/kotlin/marigoldward/support/program/SettingsWatch.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/SettingsWatch.kt
@@ -1,26 +1,27 @@
 package marigoldward.support.program
 
+import marigoldward.core.config.SourceFile
 import marigoldward.support.log.EventLog
-import sun.misc.Signal
 import java.io.File
 import java.io.IOException
 
 /**
  * Detects changes of a settings file. It reads the file at the signal `HUP` and whenever [check] is called.
  *
- * @param onChange called with the new text; never twice in a row with the same text
+ * @param onChange called with the new content; never twice in a row with the same text
  */
-public class SettingsWatch private constructor(private val file: File, private val onChange: (String) -> Unit) {
-    private var lastText = textOrNull()
+public class SettingsWatch private constructor(initial: SourceFile, private val onChange: (SourceFile) -> Unit) {
+    private val file = File(initial.name)
+    private var lastText = initial.text
 
-    /** Reads the file and passes its text to the callback if it has changed. */
+    /** Reads the file and passes its content to the callback if it has changed. */
     @Synchronized
     public fun check() {
         val text = textOrNull() ?: return
         if (text == lastText) return
         lastText = text
         log.info("settings_changed") { field("file", file) }
-        onChange(text)
+        onChange(SourceFile(file.path, text))
     }
 
     private fun textOrNull(): String? = try {
@@ -37,10 +38,14 @@
 
         private val log = EventLog.fromName("settings")
 
-        /** Starts to watch [file] and handles the signal `HUP`, which would otherwise end the process. */
-        public fun start(file: File, onChange: (String) -> Unit): SettingsWatch {
-            val watch = SettingsWatch(file, onChange)
-            Signal.handle(Signal("HUP")) { watch.check() }
+        /**
+         * Starts to watch the file from which [initial] was read, and checks it at once and at each signal `HUP`. A
+         * change since [initial] was read is detected too.
+         */
+        public fun start(initial: SourceFile, onChange: (SourceFile) -> Unit): SettingsWatch {
+            val watch = SettingsWatch(initial, onChange)
+            HangupSignal.subscribe(watch::check)
+            watch.check()
             return watch
         }
     }
--- a/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
+++ b/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
@@ -46,6 +46,8 @@
         /** Returns the document, or all problems of its structure. */
         public fun parse(source: SourceFile): Outcome<IniDocument, List<SettingsProblem>> {
             val problems = ProblemList.create()
+            // A file that is being written, or was when the power was lost, may hold zeros. No value has any.
+            if ('\u0000' in source.text) problems.add(source.name, 0, "contains bytes that are zero")
             val index = IniLineIndex.fromText(source.name, source.text, problems)
             if (problems.isNotEmpty()) return Outcome.Failure(problems.toList())
             val parsed = INIConfiguration()
