Go on calling what is called periodically after it has thrown once

Callers saw nothing yet; found while looking for the causes of processes that fail by themselves.

Cause: the executors of the timer service and of the event loop drop a periodic task that throws, without a log line. After one unexpected exception a control instance would have sent no heartbeats, a gateway would have followed no control instance, and a settings file would not have been watched any more.

Evidence: TimerServiceTest; a subscriber that throws was called once in 3 s before, and is called again now. The same wrapper in GatewayProgram has no test of its own.

What a task throws is logged and the task is called again after its period.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -93,7 +93,15 @@
     }
 
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
-        loop.scheduleWithFixedDelay(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
+        val guarded = Runnable {
+            // The loop would drop an action that throws, silently.
+            try {
+                action()
+            } catch (failure: Throwable) {
+                log.warn("repeated_action_failed") { field("error", failure.stackTraceToString()) }
+            }
+        }
+        loop.scheduleWithFixedDelay(guarded, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun newRetryBudget(): RetryBudgetShare =
--- a/support/src/main/kotlin/marigoldward/support/time/TimerService.kt
+++ b/support/src/main/kotlin/marigoldward/support/time/TimerService.kt
@@ -1,5 +1,6 @@
 package marigoldward.support.time
 
+import marigoldward.support.log.EventLog
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 
@@ -12,13 +13,27 @@
 public class TimerService private constructor(private val executor: ScheduledThreadPoolExecutor) : AutoCloseable {
     /** Calls [subscriber] until the subscription is closed, with a pause of [periodMillis] before each call. */
     public fun subscribe(periodMillis: Long, subscriber: () -> Unit): TimerSubscription {
-        val task = executor.scheduleWithFixedDelay(subscriber, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
+        val task = executor.scheduleWithFixedDelay(
+            guarded(subscriber),
+            periodMillis,
+            periodMillis,
+            TimeUnit.MILLISECONDS,
+        )
         return TimerSubscription(task)
     }
 
     /** Calls [subscriber] once, after [delayMillis], unless the subscription is closed before. */
     public fun subscribeOnce(delayMillis: Long, subscriber: () -> Unit): TimerSubscription =
-        TimerSubscription(executor.schedule(subscriber, delayMillis, TimeUnit.MILLISECONDS))
+        TimerSubscription(executor.schedule(guarded(subscriber), delayMillis, TimeUnit.MILLISECONDS))
+
+    /** Returns [subscriber] as a task that logs what it throws. The executor would drop a task that throws, silently. */
+    private fun guarded(subscriber: () -> Unit): Runnable = Runnable {
+        try {
+            subscriber()
+        } catch (failure: Throwable) {
+            log.warn("subscriber_failed") { field("error", failure.stackTraceToString()) }
+        }
+    }
 
     override fun close() {
         executor.shutdownNow()
@@ -26,6 +41,8 @@
 
     /** Creates timer services. */
     public companion object {
+        private val log = EventLog.fromName("timer")
+
         /** Starts the timer thread. */
         public fun start(): TimerService {
             val executor = ScheduledThreadPoolExecutor(1) { Thread(it, "timer").apply { isDaemon = true } }
