End a program whose start throws an Error, and log why a process halts

What operators would see: a process that neither serves nor ends, not even at SIGTERM; and processes that ended with exit code 70 and said nothing.

Cause: Program.run caught only exceptions, so after an Error (a class that can't be loaded, no memory) the shutdown hook waited for a start that never ended. BrokenInvariant halted the process while the line that it had logged was still in the queue of the log.

Evidence: ProgramTest; a program whose start throws NoClassDefFoundError did not end within 5 s before, and ends with exit code 1 and the cause now.

--- a/support/src/main/kotlin/marigoldward/support/duty/BrokenInvariant.kt
+++ b/support/src/main/kotlin/marigoldward/support/duty/BrokenInvariant.kt
@@ -11,11 +11,15 @@
 
     /** Logs [failure], which occurred in the component [part], and halts the process without its shutdown hooks. */
     public fun haltProcess(part: String, failure: Throwable): Nothing {
-        log.warn("invariant_broken") {
-            field("part", part)
-            field("error", failure.stackTraceToString())
+        try {
+            log.warn("invariant_broken") {
+                field("part", part)
+                field("error", failure.stackTraceToString())
+            }
+            EventLog.flush()
+        } finally {
+            Runtime.getRuntime().halt(EXIT_CODE)
         }
-        Runtime.getRuntime().halt(EXIT_CODE)
         error("the process did not halt")
     }
 }
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -97,7 +97,7 @@
         )
         try {
             started.complete(start())
-        } catch (failure: Exception) {
+        } catch (failure: Throwable) {
             started.complete(null)
             val cause = generateSequence<Throwable>(failure) { it.cause }.last()
             System.err.println("cannot start: ${cause.javaClass.simpleName}: ${cause.message}")
--- a/support/src/test/kotlin/marigoldward/support/program/ProgramTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/ProgramTest.kt
@@ -14,6 +14,7 @@
     fun main(arguments: Array<String>) {
         Program.run {
             println("starting")
+            if (arguments.firstOrNull() == "library") throw NoClassDefFoundError("no library")
             if (arguments.isNotEmpty()) error("no ${arguments[0]}")
             Thread.sleep(START_MILLIS)
             AutoCloseable { println("closed") }
@@ -48,5 +49,15 @@
                 process.waitFor(5, TimeUnit.SECONDS) shouldBe true
                 process.exitValue() shouldBe Program.EXIT_START
             }
+            // An Error during the start left a process that neither worked nor ended, not even at SIGTERM.
+            it("prints the cause and ends if the cause is an Error") {
+                val process = startProcess("library")
+                val hasEnded = process.waitFor(5, TimeUnit.SECONDS)
+                if (!hasEnded) process.destroyForcibly()
+                hasEnded shouldBe true
+                process.inputReader().readLines() shouldContainExactly
+                    listOf("starting", "cannot start: NoClassDefFoundError: no library")
+                process.exitValue() shouldBe Program.EXIT_START
+            }
         }
     })
