Accept calls between processes again after descriptors ran out

Operators would see: a control instance or entry that lives, but that no other process can call any more.

Cause: the gRPC server ends its accept loop for good when accept fails once, for example with too many open files.

Evidence: RpcServerTest runs a server in a process with 256 descriptors, uses them all while a connection waits, and frees them. Before: the next call is not answered.

The listening socket that the server gets retries until it is closed, and logs the first failure of a series.

--- a/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
@@ -31,6 +31,7 @@
             val builder =
                 OkHttpServerBuilder
                     .forPort(address, InsecureServerCredentials.create())
+                    .socketFactory(PersistentServerSocket.Factory)
                     .intercept(IdentityCheck(identity))
                     .maxInboundMessageSize(RpcLimits.MAX_MESSAGE_BYTES)
                     .permitKeepAliveTime(MIN_KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
