Keep a control instance alive, and its log whole, when a failed write can't be undone

What operators would see: a control process ends by itself (exit code 70) while its disk refuses writes.

Cause: after a failed write the replica removed from the file what was written in part. If the disk refused that too, the exception reached the duty, which halts the process. And a write that failed after it had removed the entries that it was to replace left the file shorter than the replica's log: later entries were written behind a gap, which a restart would have read as the log. A failed rewrite of the log also left a descriptor open, and a failed sync of the folder after the rename left the replica writing to an unlinked file.

Evidence: ReplicaDutyTest. A disk that refuses to roll back: IOException out of the handler before, goes on now.

After a failed write the log counts as outdated: the next write first replaces the file as a whole by the replica's log. The descriptor and the unlinked file are mended by reading; they have no test.

--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
@@ -55,6 +55,9 @@
     private var controlState = recovered.snapshot.state
     private var appliedIndex = recovered.snapshot.point.index
     private var isDiskWritable = true
+
+    /** Whether the log on disk may differ from that of the replica, as a write has failed and was not rolled back whole. */
+    private var isLogOutdated = false
     private val pending = PendingRequests()
     private val requestHandler = RequestHandler(pending, planner) { controlState }
 
@@ -81,7 +84,7 @@
                 actions.addAll(step.actions)
             }
         }
-        if (persist(actions)) {
+        if (persist(actions, before.log)) {
             actions.forEach(::execute)
             takeSnapshotIfDue()
         } else {
@@ -105,10 +108,12 @@
 
     private fun view(): ReplicaView = ReplicaView(replica, controlState, appliedIndex, isDiskWritable)
 
-    private fun persist(actions: List<ReplicaAction>): Boolean {
+    /** Persists what [actions] ask for, after [logBefore]. */
+    private fun persist(actions: List<ReplicaAction>, logBefore: ReplicaLog): Boolean {
         val startMillis = MonotonicClock.nowMillis()
         val isPersisted =
             try {
+                if (isLogOutdated && actions.any(::isWrite)) rewriteLog(logBefore)
                 val hasEntries = actions.map(::persistOne).any { it }
                 if (hasEntries) storage.sync()
                 if (hasEntries) ReplicaMetrics.observeSync(MonotonicClock.nowMillis() - startMillis)
@@ -124,6 +129,12 @@
     private fun isWrite(action: ReplicaAction): Boolean =
         action is ReplicaAction.PersistEntries || action is ReplicaAction.PersistHardState
 
+    private fun rewriteLog(current: ReplicaLog) {
+        storage.rewriteEntries(current.slice(current.snapshotPoint.index + 1, current.lastIndex))
+        isLogOutdated = false
+        log.info("log_rewritten") { field("last_index", current.lastIndex) }
+    }
+
     /** Persists what [action] asks for, if anything, and returns whether it wrote log entries, which need a sync. */
     private fun persistOne(action: ReplicaAction): Boolean = when (action) {
         is ReplicaAction.PersistHardState -> {
@@ -142,9 +153,14 @@
     }
 
     private fun handleDiskFailure(failure: IOException) {
-        storage.rollBack()
+        isLogOutdated = true
         if (isDiskWritable) log.warn("disk_write_failed") { field("error", failure) }
         isDiskWritable = false
+        try {
+            storage.rollBack()
+        } catch (rollBackFailure: IOException) {
+            log.warn("disk_roll_back_failed") { field("error", rollBackFailure) }
+        }
     }
 
     /** Returns the state to continue with after [before]; a leader resigns, because it can't write. */
--- a/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
@@ -68,15 +68,20 @@
         val temporary = path.resolveSibling("${path.fileName}.new")
         Files.deleteIfExists(temporary)
         val replacement = EntryLog(temporary, openChannel(temporary), emptyList())
-        if (entries.isNotEmpty()) replacement.write(entries)
-        replacement.sync()
-        Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-        syncFolder(path.parent)
+        try {
+            if (entries.isNotEmpty()) replacement.write(entries)
+            replacement.sync()
+            Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        } catch (failure: IOException) {
+            replacement.close()
+            throw failure
+        }
         channel.close()
         channel = replacement.channel
         positions = replacement.positions
         syncedPositions = positions
         syncedBytes = channel.position()
+        syncFolder(path.parent)
     }
 
     override fun close() {
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
@@ -28,9 +28,12 @@
     /** Makes written entries durable. */
     fun sync()
 
-    /** Removes the entries written since the last [sync]. */
+    /** Removes the entries written since the last [sync]. Entries that they have replaced are not restored. */
     fun rollBack()
 
+    /** Replaces the log by [entries], which are durable when this returns. */
+    fun rewriteEntries(entries: List<LogEntry>)
+
     /** Replaces the snapshot by [newest] and the log by [entries], which must be the entries after the snapshot. */
     fun writeSnapshot(newest: Snapshot, entries: List<LogEntry>)
 
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -54,6 +54,10 @@
         log.rollBack()
     }
 
+    override fun rewriteEntries(entries: List<LogEntry>) {
+        log.rewrite(entries)
+    }
+
     override fun writeSnapshot(newest: Snapshot, entries: List<LogEntry>) {
         snapshotFile.write(newest)
         snapshot = newest
--- a/control/src/test/kotlin/marigoldward/control/replica/ReplicaDutyTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/replica/ReplicaDutyTest.kt
@@ -30,15 +30,32 @@
     var isFull = false
     var syncCount = 0
 
+    /** Whether a disk that is full removes nothing either. */
+    var refusesRollBack = false
+
+    /** The entries on disk. */
+    var entries = emptyList<LogEntry>()
+
     override fun writeHardState(hardState: HardState) = checkSpace()
 
-    override fun writeEntries(entries: List<LogEntry>) = checkSpace()
+    override fun writeEntries(entries: List<LogEntry>) {
+        this.entries = this.entries.filter { it.index < entries.first().index }
+        checkSpace()
+        this.entries += entries
+    }
 
     override fun sync() {
         syncCount++
     }
 
-    override fun rollBack() = Unit
+    override fun rollBack() {
+        if (refusesRollBack) checkSpace()
+    }
+
+    override fun rewriteEntries(entries: List<LogEntry>) {
+        checkSpace()
+        this.entries = entries
+    }
 
     override fun writeSnapshot(newest: Snapshot, entries: List<LogEntry>) {
         snapshot = newest
@@ -113,5 +130,31 @@
                 replica.submit(2).last().shouldBeInstanceOf<SubmitReply.Committed>()
                 replica.status().isDiskWritable shouldBe true
             }
+            // The process ended by itself (exit code 70) when the disk refused to remove what was written in part.
+            it("goes on while its disk refuses to roll back a failed write") {
+                val replica = SingleReplica()
+                replica.storage.refusesRollBack = true
+                replica.becomeLeader()
+                replica.submit().single().shouldBeInstanceOf<SubmitReply.Committed>()
+                replica.storage.isFull = true
+                replica.submit().single().shouldBeInstanceOf<SubmitReply.Refused>()
+                replica.storage.isFull = false
+                replica.becomeLeader()
+                replica.submit(2).last().shouldBeInstanceOf<SubmitReply.Committed>()
+            }
+            // A failed write had removed the entries that it was to replace; later ones were written behind the gap.
+            it("has a log without gaps on disk after a write that failed when it had removed entries") {
+                val replica = SingleReplica()
+                replica.becomeLeader()
+                replica.submit(3)
+                replica.storage.isFull = true
+                replica.storage.entries = replica.storage.entries.dropLast(2)
+                replica.submit().single().shouldBeInstanceOf<SubmitReply.Refused>()
+                replica.storage.isFull = false
+                replica.becomeLeader()
+                replica.submit(2).last().shouldBeInstanceOf<SubmitReply.Committed>()
+                val indexes = replica.storage.entries.map(LogEntry::index)
+                indexes shouldBe (1L..indexes.size).toList()
+            }
         }
     })
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -169,6 +169,15 @@
                 }
                 open(folder).use { it.recovered.entries shouldBe entries(1L..3L) }
             }
+            it("replaces the log as a whole and goes on with the replacement") {
+                val folder = writeEntries(initialisedFolder(), 1L..5L)
+                open(folder).use { store ->
+                    store.rewriteEntries(entries(1L..3L))
+                    store.writeEntries(entries(4L..4L))
+                    store.sync()
+                }
+                open(folder).use { it.recovered.entries shouldBe entries(1L..4L) }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
