Wait for an address that is in use at the start

What operators see: a process that replaces another ends with exit code 1 and "Address already in use".

Cause: a process that is ending keeps its addresses for some time after its successor has started; the bind was tried once. All listening sockets reuse addresses already, so connections that are being closed are no cause.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
+import marigoldward.support.program.ListenAddress
 import java.net.InetSocketAddress
 
 /**
@@ -52,7 +53,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
-        listenChannel = bootstrap.bind(address).sync().channel()
+        listenChannel = ListenAddress.bindWhenFree { bootstrap.bind(address).sync().channel() }
     }
 
     /** Accepts no more connections. */
--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
 import io.undertow.util.HttpString
+import marigoldward.support.program.ListenAddress
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
@@ -111,7 +112,7 @@
     }
 
     private class RunningServer(private val server: Undertow) : Http4kServer {
-        override fun start(): Http4kServer = apply { server.start() }
+        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree(server::start) }
 
         override fun stop(): Http4kServer = apply { server.stop() }
 
--- a/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
@@ -4,6 +4,7 @@
 import io.grpc.Server
 import io.grpc.ServerServiceDefinition
 import io.grpc.okhttp.OkHttpServerBuilder
+import marigoldward.support.program.ListenAddress
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -39,7 +40,7 @@
                     .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
                     .keepAliveTimeout(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
             services.forEach(builder::addService)
-            return RpcServer(builder.build().start())
+            return RpcServer(ListenAddress.bindWhenFree { builder.build().start() })
         }
     }
 }
