Bound the memory of request bodies, and refuse what does not fit as not run

What callers see: connections that are closed without an answer, when a few large requests come at once.

Cause: nothing bounded the bodies of all connections together. A body was held twice (the buffer that it was received in lived as long as the request), a request that had ended was kept until its timers were due, and requests that wait on one connection were not bounded either. The heap was exhausted wherever the next allocation happened to be.

RequestMemoryTest: what fits is served, the rest gets 503 with Retry-After on a connection that stays open, and all is freed at each end of a request.

RequestMemory counts the bodies that are received or served, up to a sixth of the heap: a body takes up to twice its size while it is received, and is copied once when it is complete and once when it is sent. The body of a refused request is read and dropped, and the answer follows its end, so that callers that write first and read then get it. Timers end with their request. A connection on which 64 requests wait is not read until they are served.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -12,6 +12,7 @@
 import marigoldward.core.routes.RouteDocument
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.gateway.caller.CallerServer
+import marigoldward.gateway.caller.RequestMemory
 import marigoldward.gateway.caller.StatusServer
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
@@ -50,9 +51,10 @@
     private val crashes = CrashSuspicions()
     private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget)
     private val gateway = Gateway(context, random)
-    private val callerServer = CallerServer(loop, ::callerLimits, gateway::handle)
-    private val readinessServer = StatusServer(loop, ::readinessPage)
-    private val metricsServer = StatusServer(loop, ::metricsPage)
+    private val memory = RequestMemory.ofHeap()
+    private val callerServer = CallerServer(loop, ::callerLimits, memory, gateway::handle)
+    private val readinessServer = StatusServer(loop, memory, ::readinessPage)
+    private val metricsServer = StatusServer(loop, memory, ::metricsPage)
     private val directoryBook = newDirectoryCache()
     private val feed =
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -1,7 +1,6 @@
 package marigoldward.gateway.caller
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -21,7 +20,6 @@
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
-import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
 /**
@@ -45,10 +43,9 @@
         val keepsConnection: Boolean,
         val isBeforeHttp11: Boolean,
         val arrivedMillis: Long,
+        val body: ReceivedBody,
     ) {
-        val body = ByteArrayOutputStream(0)
-
-        fun toRequest(): CallerRequest = CallerRequest(head, body.toByteArray(), arrivedMillis)
+        fun toRequest(): CallerRequest = CallerRequest(head, body.take(), arrivedMillis, body.isDropped)
     }
 
     /** Whether no request is being received or handled. */
@@ -80,9 +77,11 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         server.removeConnection(this)
+        dropIncoming()
+        queued.forEach { it.body.release() }
         queued.clear()
         val abandoned = current
-        current = null
+        endCurrent()
         abandoned?.onCallerGone?.invoke()
     }
 
@@ -138,20 +137,43 @@
             rejectRequest(BAD_REQUEST, problem)
             return
         }
-        incoming = IncomingRequest(head, keepsConnection, isBeforeHttp11, MonotonicClock.nowMillis())
+        val body = ReceivedBody(server.memory)
+        incoming = IncomingRequest(head, keepsConnection, isBeforeHttp11, MonotonicClock.nowMillis(), body)
         if (headers.hasToken("Expect", "100-continue")) write(Http1Encoder.continueResponse(context.alloc()))
     }
 
     private fun onRequestContent(content: HttpContent) {
         val request = incoming ?: return
-        if (content.content().isReadable) request.body.writeBytes(ByteBufUtil.getBytes(content.content()))
-        if (request.body.size() > server.limits.maxBodyBytes) {
+        if (content.content().isReadable) request.body.add(content.content())
+        if (request.body.receivedBytes > server.limits.maxBodyBytes) {
             rejectRequest(BODY_TOO_LARGE, "the body is larger than ${server.limits.maxBodyBytes} bytes")
             return
         }
         if (content !is LastHttpContent) return
         incoming = null
-        if (current == null) startExchange(request) else queued.addLast(request)
+        if (current == null) startExchange(request) else enqueue(request)
+    }
+
+    /** Keeps [request] for later. Reads no more while many wait. */
+    private fun enqueue(request: IncomingRequest) {
+        queued.addLast(request)
+        if (queued.size >= MAX_QUEUED_REQUESTS) context.channel().config().isAutoRead = false
+    }
+
+    private fun dequeueOrNull(): IncomingRequest? {
+        val next = queued.removeFirstOrNull()
+        if (queued.isEmpty()) context.channel().config().isAutoRead = true
+        return next
+    }
+
+    private fun dropIncoming() {
+        incoming?.body?.release()
+        incoming = null
+    }
+
+    private fun endCurrent() {
+        current?.releaseBody()
+        current = null
     }
 
     private fun startExchange(request: IncomingRequest) {
@@ -187,7 +209,7 @@
             field("status", status)
             field("reason", reason)
         }
-        incoming = null
+        dropIncoming()
         isClosing = true
         if (current != null) return
         val head = ResponseHead(status, Headers.of("Connection" to "close"))
@@ -197,9 +219,9 @@
 
     private fun onResponseEnded(exchange: Exchange, keepsConnection: Boolean) {
         if (current !== exchange) return
-        current = null
+        endCurrent()
         idleSinceMillis = MonotonicClock.nowMillis()
-        val next = queued.removeFirstOrNull()
+        val next = dequeueOrNull()
         when {
             !keepsConnection || isClosing -> closeGracefully()
             next != null -> startExchange(next)
@@ -270,11 +292,13 @@
 
         override fun abort() {
             if (!isCurrent) return
-            current = null
+            endCurrent()
             // The end of the connection is the end of the response before HTTP/1.1, so only a reset tells them apart.
             if (received.isBeforeHttp11) reset() else context.close()
         }
 
+        fun releaseBody() = received.body.release()
+
         private fun keepsConnection(): Boolean =
             received.keepsConnection && !received.isBeforeHttp11 && !server.isDraining && !isClosing
 
@@ -289,6 +313,9 @@
         const val HEADERS_TOO_LARGE = 431
         const val NO_CONTENT = 204
 
+        /** The number of requests that wait on one connection above which no more are read. */
+        const val MAX_QUEUED_REQUESTS = 64
+
         /** How long the request for which a caller has opened a connection takes to arrive, at most. */
         const val FIRST_REQUEST_MILLIS = 500L
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -18,11 +18,13 @@
  * Accepts connections of callers. Confined to the event loop thread, except for [start].
  *
  * @param currentLimits returns the limits in force
+ * @param memory bounds the bodies of the requests that are held
  * @param handle called with each complete request
  */
 internal class CallerServer(
     private val loop: EventLoop,
     private val currentLimits: () -> CallerLimits,
+    val memory: RequestMemory,
     val handle: (CallerExchange) -> Unit,
 ) {
     /** The requests that were received and not started yet. */
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/ReceivedBody.kt
@@ -0,0 +1,43 @@
+package marigoldward.gateway.caller
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import java.io.ByteArrayOutputStream
+
+/** The body of a request while it is received, and its share of [memory] until the end of the request. */
+internal class ReceivedBody(private val memory: RequestMemory) {
+    private var buffer = ByteArrayOutputStream(0)
+    private var heldBytes = 0L
+
+    /** The number of bytes received, also of those that were dropped. */
+    var receivedBytes: Int = 0
+        private set
+
+    /** Whether the body was dropped, as there was no memory for it. */
+    var isDropped: Boolean = false
+        private set
+
+    /** Adds [data], or drops the whole body if there is no memory for it. */
+    fun add(data: ByteBuf) {
+        val bytes = data.readableBytes()
+        receivedBytes += bytes
+        if (isDropped) return
+        if (memory.tryHold(bytes)) {
+            heldBytes += bytes
+            buffer.writeBytes(ByteBufUtil.getBytes(data))
+        } else {
+            isDropped = true
+            release()
+        }
+    }
+
+    /** Returns the body, which is empty if it was dropped, and frees the buffer that it was received in. */
+    fun take(): ByteArray = buffer.toByteArray().also { buffer = ByteArrayOutputStream(0) }
+
+    /** Frees the share of the memory. Called when the request has ended. */
+    fun release() {
+        buffer = ByteArrayOutputStream(0)
+        memory.release(heldBytes)
+        heldBytes = 0
+    }
+}
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
@@ -7,11 +7,11 @@
 import java.net.InetSocketAddress
 
 /** Responds to every request at one address with the page that [currentPage] returns. */
-internal class StatusServer(loop: EventLoop, private val currentPage: () -> Page) {
+internal class StatusServer(loop: EventLoop, memory: RequestMemory, private val currentPage: () -> Page) {
     /** An HTTP status and a text of the given content type. */
     data class Page(val status: Int, val contentType: String, val text: String)
 
-    private val server = CallerServer(loop, { CallerLimits.DEFAULT }, ::respond)
+    private val server = CallerServer(loop, { CallerLimits.DEFAULT }, memory, ::respond)
 
     /** Starts to listen at [address]; returns when the address is bound. */
     fun start(address: InetSocketAddress) = server.start(address)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -40,8 +40,9 @@
     fun handle(exchange: CallerExchange) {
         val metadata = context.dialect.readRequest(exchange.request.head)
         val current = configuration
-        if (current == null) {
-            sendNotRun(exchange, metadata, SessionEnd.NotRun("no_configuration", NO_CONFIGURATION_RETRY_AFTER_MILLIS))
+        if (current == null || exchange.request.isBodyDropped) {
+            val reason = if (current == null) "no_configuration" else "no_memory"
+            sendNotRun(exchange, metadata, SessionEnd.NotRun(reason, RETRY_AFTER_MILLIS))
             return
         }
         val host = exchange.request.head.headers.first("Host").orEmpty().substringBefore(':')
@@ -115,8 +116,8 @@
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
 
-        /** The `Retry-After` of requests that arrive before the first configuration, in milliseconds. */
-        const val NO_CONFIGURATION_RETRY_AFTER_MILLIS = 500L
+        /** The `Retry-After` of requests that the gateway has no configuration or no memory for, in milliseconds. */
+        const val RETRY_AFTER_MILLIS = 500L
         val log = EventLog.fromName("gateway")
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -68,7 +68,7 @@
             cacheSource = null,
             needsFreshConnection = !request.route.isRepeatable,
         )
-        if (request.route.isRepeatable) context.schedule(overdueMillis()) { retryIfOverdue(attempt) }
+        if (request.route.isRepeatable) scheduleUntilEnd(overdueMillis()) { retryIfOverdue(attempt) }
     }
 
     private fun overdueMillis(): Long = request.route.targetLatencyMillis * OVERDUE_TARGETS
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.dispatch.RetryRules
 import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.message.ResponseHead
+import java.util.concurrent.Future
 
 /** Serves one request: keeps its deadline, its attempts at upstreams and its outcome. */
 internal abstract class Session(protected val context: SessionContext, protected val request: SessionRequest) {
@@ -15,6 +16,7 @@
         private set
     private var timing = ResponseTiming.NOT_STARTED
     private var isRetryAllowed = true
+    private val timers = ArrayList<Future<*>>(1)
     protected var hasEnded: Boolean = false
         private set
 
@@ -32,12 +34,14 @@
         context.recordSessionStart(this)
         request.exchange.onCallerGone = ::onCallerGone
         context.retryBudget(request.serviceName).recordRequest(context.nowMillis())
-        val timeout = context.schedule(remainingMillis) { if (!hasEnded) onTimeout() }
-        cancelTimeout = { timeout.cancel(false) }
+        scheduleUntilEnd(remainingMillis, ::onTimeout)
         if (remainingMillis > 0) startNextAttempt() else endWithoutResponse(SessionEnd.NotRun.BY_DEADLINE)
     }
 
-    private var cancelTimeout: () -> Unit = {}
+    /** Calls [action] after [delayMillis], unless the request has ended by then. */
+    protected fun scheduleUntilEnd(delayMillis: Long, action: () -> Unit) {
+        timers.add(context.schedule(delayMillis, action))
+    }
 
     /** Sends the request to another upstream, or ends it if none can serve it. */
     protected abstract fun startNextAttempt()
@@ -150,7 +154,9 @@
     protected fun recordOutcome(outcome: String, status: Int?) {
         if (hasEnded) return
         hasEnded = true
-        cancelTimeout()
+        // A timer would keep the request in memory until it is due.
+        timers.forEach { it.cancel(false) }
+        timers.clear()
         val nowMillis = context.nowMillis()
         context.recordSessionEnd(this, request.route, nowMillis - request.arrivedMillis)
         SessionLog.ended(request, outcome, status, timing, nowMillis)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -155,7 +155,7 @@
      * Fails the attempt if the engine sends nothing at all and accepts no connections: it has crashed or is cut off.
      */
     private fun watchForSilence(attempt: UpstreamAttempt) {
-        context.schedule(PROBE_AFTER_MILLIS) {
+        scheduleUntilEnd(PROBE_AFTER_MILLIS) {
             if (!hasEnded && currentAttempt === attempt && attempt.hasReceivedNothing) {
                 attempt.probe { isReachable -> onProbed(attempt, isReachable) }
             }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -18,6 +18,7 @@
 import marigoldward.core.routes.ServiceDeclaration
 import marigoldward.core.routes.ServiceShare
 import marigoldward.gateway.caller.CallerServer
+import marigoldward.gateway.caller.RequestMemory
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.SessionContext
@@ -43,6 +44,7 @@
     timeoutMillis: Long = 1_500,
     private val targetLatencyMillis: Long = 200,
     private val handlingMillis: Long = 0,
+    val memory: RequestMemory = RequestMemory.ofHeap(),
 ) : Closeable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -52,7 +54,7 @@
     private val context =
         SessionContext(loop, TestDialect, dispatcher, pool, crashSuspicions) { RetryBudgetShare(0.2, 64, 10_000) }
     private val gateway = Gateway(context, Random(1))
-    val server = CallerServer(loop, { limits }) { exchange ->
+    val server = CallerServer(loop, { limits }, memory) { exchange ->
         Thread.sleep(handlingMillis)
         check(exchange.request.head.path != FAILING_PATH) { "a fault of the gateway" }
         gateway.handle(exchange)
