--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -11,17 +11,20 @@
 import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
+import marigoldward.support.program.ListenAddress
 import java.net.InetSocketAddress
 
 /**
  * Accepts connections of callers. Confined to the event loop thread, except for [start].
  *
  * @param currentLimits returns the limits in force
+ * @param memory bounds the bodies of the requests that are held
  * @param handle called with each complete request
  */
 internal class CallerServer(
     private val loop: EventLoop,
     private val currentLimits: () -> CallerLimits,
+    val memory: RequestMemory,
     val handle: (CallerExchange) -> Unit,
 ) {
     /** The requests that were received and not started yet. */
@@ -52,7 +55,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
-        listenChannel = bootstrap.bind(address).sync().channel()
+        listenChannel = ListenAddress.bindWhenFree { bootstrap.bind(address).sync().channel() }
     }
 
     /** Accepts no more connections. */
