--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -31,12 +31,25 @@
             .help("Attempts at upstreams, by how they ended")
             .labelNames("end")
             .register()
+    private val retries: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_retries_total")
+            .help("Retries that were requested from the retry budget, by whether they were taken or denied")
+            .labelNames("decision")
+            .register()
     private val firstPartSeconds: Histogram =
         histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
     private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
     private val requestSeconds: Histogram = histogram("marigoldward_request_seconds", "Time to the end of an answer")
     val routesVersion: Gauge =
         Gauge.builder().name("marigoldward_routes_version").help("The configuration of routes in force").register()
+    val budgetSharers: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_budget_sharers")
+            .help("Gateways by which the slack of the retry budgets is divided")
+            .register()
     val directoryAgeSeconds: Gauge =
         Gauge
             .builder()
@@ -46,6 +59,8 @@
 
     fun recordAttemptEnd(label: String) = attempts.labelValues(label).inc()
 
+    fun recordRetryDecision(isTaken: Boolean) = retries.labelValues(if (isTaken) "taken" else "denied").inc()
+
     fun recordRequestEnd(route: Route, outcome: String, timing: ResponseTiming, totalMillis: Long) {
         val priority = route.priority.toString()
         requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -13,6 +13,7 @@
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.StatusServer
+import marigoldward.gateway.control.BudgetSharersLog
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
 import marigoldward.gateway.session.CrashSuspicions
@@ -48,6 +49,8 @@
     private val dispatcher = Dispatcher(settings.dataCentre, PlacementCosts.DEFAULT, random.nextLong())
     private val pool = UpstreamPool(loop, dialect)
     private val crashes = CrashSuspicions()
+    private val startedMillis = MonotonicClock.nowMillis()
+    private val budgetSharersLog = BudgetSharersLog(dispatcher.gatewayCount, startedMillis)
     private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget)
     private val gateway = Gateway(context, random)
     private val callerServer = CallerServer(loop, ::callerLimits, gateway::handle)
@@ -58,7 +61,6 @@
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
-    private val startedMillis = MonotonicClock.nowMillis()
     private var isShuttingDown = false
 
     /** A configuration from a control instance whose state is not fresh, so that there may be a newer one. */
@@ -99,10 +101,16 @@
     private fun newRetryBudget(): RetryBudgetShare =
         RetryBudgetShare(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMillis)
 
+    private fun logBudgetSharers(reported: Int, isFresh: Boolean) {
+        val nowMillis = MonotonicClock.nowMillis()
+        budgetSharersLog.record(context.gatewayCount, reported, isFresh, nowMillis)
+    }
+
     private fun callerLimits(): CallerLimits = gateway.configuration?.limits ?: CallerLimits.DEFAULT
 
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
         context.gatewayCount = maxOf(1, update.entryCount)
+        logBudgetSharers(update.entryCount, isFresh)
         update.routes?.let { considerConfiguration(it, isFresh) }
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
         if (isFresh) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -31,7 +31,7 @@
     fun start() {
         context.recordSessionStart(this)
         request.exchange.onCallerGone = ::onCallerGone
-        context.retryBudget(request.serviceName).recordRequest(context.nowMillis())
+        context.recordRequest(request.serviceName)
         val timeout = context.schedule(remainingMillis) { if (!hasEnded) onTimeout() }
         cancelTimeout = { timeout.cancel(false) }
         if (remainingMillis > 0) startNextAttempt() else endWithoutResponse(SessionEnd.NotRun.BY_DEADLINE)
@@ -86,8 +86,7 @@
     }
 
     /** Takes one retry from this gateway's share of the budget; returns false if none is left. */
-    protected fun takeFromRetryBudget(): Boolean =
-        context.retryBudget(request.serviceName).tryTake(context.gatewayCount, context.nowMillis())
+    protected fun takeFromRetryBudget(): Boolean = context.tryTakeRetry(request.serviceName)
 
     /**
      * Records that [upstream] may have crashed while it was answering the request. If that is not the first crash under
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -9,6 +9,7 @@
 import marigoldward.core.model.PoolName
 import marigoldward.core.routes.Route
 import marigoldward.gateway.Dialect
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.TimeUnit
@@ -29,7 +30,7 @@
     private val longPromptGates = HashMap<PoolName, LongPromptGate<LongPromptAdmission>>()
     private val retryBudgets = HashMap<PoolName, RetryBudgetShare>()
 
-    /** The number of gateways that share the upstreams and the retry budget, including this one. */
+    /** The number of gateways that share the upstreams, and the retry budget, including this one. */
     var gatewayCount: Int by dispatcher::gatewayCount
 
     /** Returns the current time, in milliseconds of monotonic time. */
@@ -51,8 +52,17 @@
         activeSessions.sortedBy { it.mayHaveRun }.forEach(Session::endForExit)
     }
 
-    /** Returns this gateway's share of the retry budget of [service]. */
-    fun retryBudget(service: PoolName): RetryBudgetShare = retryBudgets.getOrPut(service, newRetryBudget)
+    /** Counts a request for [service], from which retries may be taken later. */
+    fun recordRequest(service: PoolName) = retryBudget(service).recordRequest(nowMillis())
+
+    /** Takes one retry from this gateway's share of the retry budget of [service]; returns false if nothing is left. */
+    fun tryTakeRetry(service: PoolName): Boolean {
+        val isTaken = retryBudget(service).tryTake(gatewayCount, nowMillis())
+        GatewayMetrics.recordRetryDecision(isTaken)
+        return isTaken
+    }
+
+    private fun retryBudget(service: PoolName): RetryBudgetShare = retryBudgets.getOrPut(service, newRetryBudget)
 
     /** Returns the gate that limits the long prompts that are at the engines of [service] at once. */
     fun longPromptGate(service: PoolName): LongPromptGate<LongPromptAdmission> =
