Divide the slack of the retry budgets by no fewer gateways than share it

Callers' retries piled up at the upstreams: after all control instances had ended and started again, six gateways made 264 retries in a window for which 242 are allowed; after all gateways had been killed and started again, 276.

A gateway divided the slack by the number that its control instance reported last. A gateway that has just started took its whole share, which the process before it had spent. By reading, one that is cut off from control kept its share while the others divided the slack among fewer.

BudgetSharers uses a larger number at once, a smaller one after two windows of fresh reports, and assumes 32 gateways for a window after the start and after a window without fresh reports.

Cost: for a window after its start a gateway has one or two retries of the slack, besides those for its own requests.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.util.concurrent.DefaultThreadFactory
 import marigoldward.core.Outcome
+import marigoldward.core.dispatch.BudgetSharers
 import marigoldward.core.dispatch.Dispatcher
 import marigoldward.core.dispatch.PlacementCosts
 import marigoldward.core.dispatch.RetryBudgetShare
@@ -50,8 +51,11 @@
     private val pool = UpstreamPool(loop, dialect)
     private val crashes = CrashSuspicions()
     private val startedMillis = MonotonicClock.nowMillis()
-    private val budgetSharersLog = BudgetSharersLog(dispatcher.gatewayCount, startedMillis)
-    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget)
+    private val budgetSharers = BudgetSharers(settings.retryBudgetWindowMillis, startedMillis)
+    private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
+    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget) {
+        budgetSharers.count(MonotonicClock.nowMillis())
+    }
     private val gateway = Gateway(context, random)
     private val callerServer = CallerServer(loop, ::callerLimits, gateway::handle)
     private val readinessServer = StatusServer(loop, ::readinessPage)
@@ -101,15 +105,16 @@
     private fun newRetryBudget(): RetryBudgetShare =
         RetryBudgetShare(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMillis)
 
-    private fun logBudgetSharers(reported: Int, isFresh: Boolean) {
+    private fun logBudgetSharers(reported: Int?, isFresh: Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
-        budgetSharersLog.record(context.gatewayCount, reported, isFresh, nowMillis)
+        budgetSharersLog.record(budgetSharers.count(nowMillis), reported, isFresh, nowMillis)
     }
 
     private fun callerLimits(): CallerLimits = gateway.configuration?.limits ?: CallerLimits.DEFAULT
 
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
         context.gatewayCount = maxOf(1, update.entryCount)
+        budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
         logBudgetSharers(update.entryCount, isFresh)
         update.routes?.let { considerConfiguration(it, isFresh) }
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
@@ -166,6 +171,7 @@
         GatewayMetrics.directoryAgeSeconds.set((directoryBook.ageMillisOrNull(nowMillis) ?: 0) / MILLIS_PER_SECOND)
         val isWaitOver = nowMillis - startedMillis > FRESH_CONFIGURATION_TIMEOUT_MILLIS
         if (isWaitOver) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
+        logBudgetSharers(reported = null, isFresh = false)
         if (gateway.configuration != null && directoryBook.markReadStartedIfDue(nowMillis)) directory.poll()
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -14,7 +14,11 @@
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.TimeUnit
 
-/** The state and services that all sessions share. Confined to the event loop thread. */
+/**
+ * The state and services that all sessions share. Confined to the event loop thread.
+ *
+ * @param budgetSharerCount returns the number of gateways that share the slack of the retry budgets
+ */
 internal class SessionContext(
     private val loop: EventLoop,
     val dialect: Dialect,
@@ -22,6 +26,7 @@
     val pool: UpstreamPool,
     val crashes: CrashSuspicions,
     private val newRetryBudget: () -> RetryBudgetShare,
+    private val budgetSharerCount: () -> Int,
 ) {
     private val activeSessions = LinkedHashSet<Session>()
 
@@ -30,7 +35,7 @@
     private val longPromptGates = HashMap<PoolName, LongPromptGate<LongPromptAdmission>>()
     private val retryBudgets = HashMap<PoolName, RetryBudgetShare>()
 
-    /** The number of gateways that share the upstreams, and the retry budget, including this one. */
+    /** The number of gateways that share the upstreams, including this one, as last reported. */
     var gatewayCount: Int by dispatcher::gatewayCount
 
     /** Returns the current time, in milliseconds of monotonic time. */
@@ -57,7 +62,7 @@
 
     /** Takes one retry from this gateway's share of the retry budget of [service]; returns false if nothing is left. */
     fun tryTakeRetry(service: PoolName): Boolean {
-        val isTaken = retryBudget(service).tryTake(gatewayCount, nowMillis())
+        val isTaken = retryBudget(service).tryTake(budgetSharerCount(), nowMillis())
         GatewayMetrics.recordRetryDecision(isTaken)
         return isTaken
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -43,6 +43,7 @@
     timeoutMillis: Long = 1_500,
     private val targetLatencyMillis: Long = 200,
     private val handlingMillis: Long = 0,
+    private val retryBudgetSlack: Int = 64,
 ) : Closeable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -50,7 +51,15 @@
     private val pool = UpstreamPool(loop, TestDialect)
     val crashSuspicions = CrashSuspicions()
     private val context =
-        SessionContext(loop, TestDialect, dispatcher, pool, crashSuspicions) { RetryBudgetShare(0.2, 64, 10_000) }
+        SessionContext(
+            loop,
+            TestDialect,
+            dispatcher,
+            pool,
+            crashSuspicions,
+            newRetryBudget = { RetryBudgetShare(0.2, retryBudgetSlack, 10_000) },
+            budgetSharerCount = { 1 },
+        )
     private val gateway = Gateway(context, Random(1))
     val server = CallerServer(loop, { limits }) { exchange ->
         Thread.sleep(handlingMillis)
