Charge a prefill after the first successful one to the retry budget

A stream that broke off and was resumed by a prefill and a decode engine took one retry from the budget and reached two engines; the platform exempts only the first prefill of a request. With budget for one retry, two extra requests arrived. The same holds for a request whose KV cache no decode engine takes any more.

The session takes another retry from the budget for such a prefill. If there is none left, the decode engine processes the prompt itself. RetryChargeTest failed before (2 extra arrivals, 1 allowed).

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -59,7 +59,8 @@
         val usable = usableRecords(request.service, tried, nowMillis)
         val decodeEngines = usable.filter { it.listed.stage != EngineStage.PREFILL }
         if (decodeEngines.isEmpty()) return Placement.None(reasonForNone(request.service))
-        val prefillEngines = usable.filter { it.listed.stage == EngineStage.PREFILL }
+        val prefillEngines =
+            if (request.maySplit) usable.filter { it.listed.stage == EngineStage.PREFILL } else emptyList()
         recordCacheCapacity(decodeEngines, request)
         recordCacheCapacity(prefillEngines, request)
         val pricing = pricing(request, decodeEngines.size, nowMillis)
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationRequest.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationRequest.kt
@@ -10,6 +10,7 @@
  * @property remainingMillis the time until the caller leaves, in milliseconds from now
  * @property maxPauseMillis the longest pause between two events that is on time
  * @property bodyBytes the size of the request body
+ * @property maySplit whether an engine of the prefill stage may process the prompt for another one
  */
 public data class GenerationRequest(
     val service: PoolName,
@@ -19,4 +20,5 @@
     val remainingMillis: Long,
     val maxPauseMillis: Long,
     val bodyBytes: Int,
+    val maySplit: Boolean = true,
 )
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -26,12 +26,15 @@
     private val admission = LongPromptAdmission(context, request) { if (!hasEnded) startNextAttempt() }
     private var heldCache: HeldCache? = null
 
+    /** Whether a prefill is not charged to the retry budget, or has been: the first one that succeeds is free. */
+    private var isPrefillPaid = true
+
     /** A KV cache that the prefill [engine] holds for this request and that no decode engine has fetched yet. */
     private class HeldCache(val engine: ListedUpstream, val handle: String)
 
     override fun startNextAttempt() {
         if (endIfQuarantined()) return
-        when (val placement = place()) {
+        when (val placement = placePaid()) {
             is Placement.Single -> startGeneration(
                 placement.upstream,
                 placement.prefillTokens,
@@ -59,31 +62,23 @@
         if (hasResponseBegun) abortResponse(end.label) else endWithoutResponse(end)
     }
 
-    private fun place(): Placement {
+    /** Places the request, and charges another prefill after one that succeeded; without budget, avoids it. */
+    private fun placePaid(): Placement {
+        val placement = place(maySplit = true)
+        if (placement !is Placement.Split || isPrefillPaid) return placement
+        isPrefillPaid = takeFromRetryBudget()
+        return if (isPrefillPaid) placement else place(maySplit = false)
+    }
+
+    private fun place(maySplit: Boolean): Placement {
         val nowMillis = context.nowMillis()
         val generationRequest = generationRequestOrNull()
             ?: return context.dispatcher.place(request.serviceName, triedUpstreams, nowMillis)
-        return context.dispatcher.place(generationRequest, triedUpstreams, nowMillis)
-    }
-
-    private fun generationRequestOrNull(): GenerationRequest? {
-        val prompt = request.metadata.prompt ?: return null
-        val engine = request.service.engine ?: return null
-        val targetMillis = request.arrivedMillis + request.route.targetLatencyMillis - context.nowMillis()
-        return GenerationRequest(
-            service = request.serviceName,
-            engine = engine,
-            prompt = prompt,
-            targetMillis = maxOf(1, targetMillis),
-            remainingMillis = minOf(remainingMillis, remainingFirstEventMillis()),
-            maxPauseMillis = request.route.targetGapMillis.takeIf { it > 0 } ?: Long.MAX_VALUE,
-            bodyBytes = request.body.size,
-        )
+        return context.dispatcher.place(generationRequest.copy(maySplit = maySplit), triedUpstreams, nowMillis)
     }
 
-    /** Returns how much longer the caller waits for the first event, in milliseconds. */
-    private fun remainingFirstEventMillis(): Long =
-        request.arrivedMillis + context.dialect.firstEventTimeoutMillis(request.route) - context.nowMillis()
+    private fun generationRequestOrNull(): GenerationRequest? =
+        generationRequestOrNull(context, request, remainingMillis)
 
     private fun endWithoutPlacement(placement: Placement.None) {
         admission.release()
@@ -258,6 +253,7 @@
         private fun onPrefillDone(handle: String) {
             attempt().recordPromptReady()
             admission.release()
+            isPrefillPaid = false
             attempt().recordEnd(AttemptEnd.ANSWERED, "")
             if (hasEnded || currentAttempt !== attempt()) {
                 CacheRelease.send(context, placement.prefill, handle)
