Send nothing to an upstream in the time for which it has asked for no requests

An upstream may refuse with 503 and Retry-After. The gateway ignored the header: an upstream that had asked for none for 1.5 s got the next four of four requests at once.

The dispatcher passes over the upstream until that time is over.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -188,6 +188,14 @@
         }
     }
 
+    /** Records that [upstream] has asked at [nowMillis] for no requests for the next [durationMillis]. */
+    public fun recordRefusal(upstream: UpstreamId, durationMillis: Long, nowMillis: Long) {
+        update(upstream) { record ->
+            val untilMillis = maxOf(record.health.refusesUntilMillis, nowMillis + durationMillis)
+            record.copy(health = record.health.copy(refusesUntilMillis = untilMillis))
+        }
+    }
+
     private fun pricing(request: GenerationRequest, decodeEngineCount: Int, nowMillis: Long): GenerationPricing {
         val otherStepsPerMilli =
             directPrefillRate.stepsPerMilli(nowMillis) * (gatewayCount - 1) / maxOf(1, decodeEngineCount)
@@ -234,11 +242,12 @@
         nowMillis >= record.health.ejectedUntilMillis && acceptsAttempt(record, nowMillis)
 
     /**
-     * Whether another attempt may be sent: the upstream is not silent, and if it is suspect, no attempt is in progress.
+     * Whether another attempt may be sent: the upstream is not silent and does not refuse requests for the time being,
+     * and if it is suspect, no attempt is in progress.
      */
     private fun acceptsAttempt(record: UpstreamRecord, nowMillis: Long): Boolean {
         val isBeingTried = record.health.isSuspect && record.attempts.isNotEmpty()
-        return !isBeingTried && !isSilent(record, nowMillis)
+        return !isBeingTried && !isSilent(record, nowMillis) && nowMillis >= record.health.refusesUntilMillis
     }
 
     /**
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -8,6 +8,8 @@
  * @property ejectedUntilMillis when the upstream may get requests again, in milliseconds of monotonic time
  * @property lastFailureMillis when an attempt last failed, in milliseconds of monotonic time
  * @property lastReceivedMillis when bytes were last received, in milliseconds of monotonic time
+ * @property refusesUntilMillis when the upstream accepts requests again according to its last refusal, in milliseconds
+ *   of monotonic time
  */
 public data class UpstreamHealth(
     val consecutiveFailures: Int,
@@ -15,6 +17,7 @@
     val ejectedUntilMillis: Long,
     val lastFailureMillis: Long,
     val lastReceivedMillis: Long,
+    val refusesUntilMillis: Long = Long.MIN_VALUE,
 ) {
     /** Whether the latest attempts failed and nothing has been received since. */
     val isSuspect: Boolean get() = consecutiveFailures > 0 && lastReceivedMillis <= lastFailureMillis
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -90,6 +90,8 @@
      * @property answeredBy the id of the upstream that sent the response, or null if it bears none
      * @property isContentEncoded whether the body has a content encoding, and so is not the upstream's own bytes
      * @property load the load that the upstream reports, or null if it reports none
+     * @property refusesForMillis how long the upstream asks for no further requests, in milliseconds, or null if it does
+     *   not
      */
     public data class ResponseMetadata(
         val requestId: String?,
@@ -99,5 +101,6 @@
         val answeredBy: String?,
         val isContentEncoded: Boolean,
         val load: ReportedLoad?,
+        val refusesForMillis: Long? = null,
     )
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.UpstreamRecord
+import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.GatewayMetrics
 import marigoldward.support.log.EventLog
 
@@ -52,6 +53,14 @@
         }
     }
 
+    fun upstreamRefuses(request: SessionRequest, upstream: UpstreamId, durationMillis: Long) {
+        log.info("upstream_refuses") {
+            field("request", request.id)
+            field("upstream", upstream)
+            field("for_ms", durationMillis)
+        }
+    }
+
     fun quarantined(request: SessionRequest, fingerprint: Fingerprint) {
         val part = request.metadata.prompt?.sharedParts?.firstOrNull { RequestFingerprints.of(it) == fingerprint }
         log.info("quarantined") {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -111,7 +111,9 @@
             val reported = context.dialect.readResponse(head)
             val isOwn = reported.answeredBy == upstream.id.text
             val metadata = if (isOwn) reported.copy(isMisdirected = false) else reported
-            context.dispatcher.recordReceived(upstream.id, metadata.load, context.nowMillis())
+            val nowMillis = context.nowMillis()
+            context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
+            metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
             listener.onHead(head, metadata)
         }
 
@@ -120,6 +122,11 @@
             listener.onData(data)
         }
 
+        private fun recordRefusal(durationMillis: Long, nowMillis: Long) {
+            context.dispatcher.recordRefusal(upstream.id, durationMillis, nowMillis)
+            SessionLog.upstreamRefuses(request, upstream.id, durationMillis)
+        }
+
         override fun onEnd() = listener.onEnd()
 
         override fun onFailure(failure: UpstreamFailure) = listener.onFailure(failure)
