Count the crashes of upstreams that start again under their ids

A loss under a known id counts as another crash if the request was sent after all crashes before were known, over a connection opened for it: the upstream was running again. Other reports of the same crash still merge. Crashes carry a number for the start of the upstream, so that one suspicion explains only the crashes that it includes.

--- a/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
@@ -15,9 +15,14 @@
      * The crash of [upstream].
      *
      * @property fingerprints all fingerprints of the requests that were lost in the crash and had the suspected one
+     * @property boot tells apart the crashes of an upstream that starts again under its id: a later one has a larger
+     *   number
      */
     @Serializable
-    public data class Crash(val upstream: UpstreamId, val fingerprints: List<Fingerprint>)
+    public data class Crash(val upstream: UpstreamId, val fingerprints: List<Fingerprint>, val boot: Int = 0) {
+        /** Identifies the crash, which other suspicions may include too. */
+        internal val key: Pair<UpstreamId, Int> get() = upstream to boot
+    }
 
     /** The fingerprints that may have caused every one of the crashes, the suspected one among them. */
     public val common: Set<Fingerprint>
--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -15,7 +15,8 @@
  *
  * Every request that an upstream was answering when it crashed is a suspect. Crashes under a fingerprint count if they
  * come one after the other, each of them after the crash before it was known to the reporter, and no request with the
- * fingerprint was answered in between. So upstreams that fail together count once.
+ * fingerprint was answered in between. So upstreams that fail together count once. An upstream may start again under its
+ * id and crash again: a crash counts too if the lost request was sent after all crashes before it were known.
  *
  * From [Suspicion.QUARANTINE_CRASHES] crashes on, a fingerprint is quarantined if it explains a crash that no more
  * likely one explains. Fingerprints that were lost together in each crash cannot be told apart: the quarantine holds
@@ -51,8 +52,8 @@
         val fingerprint = command.fingerprint
         val suspicion = state.suspects[fingerprint]
         if (suspicion == null || fingerprint !in state.quarantine) return AppliedCommand(state, ControlOutcome.Done)
-        val upstreams = suspicion.crashes.map { it.upstream }
-        val explained = state.suspects.filterValues { other -> other.crashes.all { it.upstream in upstreams } }.keys
+        val crashes = suspicion.crashes.map { it.key }
+        val explained = state.suspects.filterValues { other -> other.crashes.all { it.key in crashes } }.keys
         val onTrial =
             suspicion.copy(
                 crashes = suspicion.crashes.takeLast(Suspicion.QUARANTINE_CRASHES - 1),
@@ -84,25 +85,26 @@
         val fingerprints = request.suspects.map { it.fingerprint }
         return request.suspects.fold(state) { current, suspect ->
             val before = current.suspects[suspect.fingerprint]
-            val after = withCrash(before, upstream, fingerprints, suspect.knownCrashes)
+            val crash =
+                Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH), lastBoot(current, upstream))
+            val after = if (before == null) Suspicion(listOf(crash)) else withCrash(before, crash, suspect)
             if (after == before) current else withSuspicion(current, suspect.fingerprint, after)
         }
     }
 
-    private fun withCrash(
-        before: Suspicion?,
-        upstream: UpstreamId,
-        fingerprints: List<Fingerprint>,
-        knownCrashes: Int,
-    ): Suspicion {
-        val crash = Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH))
-        if (before == null) return Suspicion(listOf(crash))
+    /** Returns the boot of the last crash of [upstream] under any fingerprint, or 0 if there is none. */
+    private fun lastBoot(state: ControlState, upstream: UpstreamId): Int =
+        state.suspects.values.flatMap { it.crashes }.filter { it.upstream == upstream }.maxOfOrNull { it.boot } ?: 0
+
+    /** Adds [crash], whose boot is that of the last known crash of its upstream under any fingerprint. */
+    private fun withCrash(before: Suspicion, crash: Suspicion.Crash, suspect: LostRequest.Suspect): Suspicion {
         val crashes = before.crashes
-        val isKnownCrash = crashes.any { it.upstream == upstream }
+        val known = crashes.lastOrNull { it.upstream == crash.upstream }
         return when {
-            isKnownCrash ->
-                before.copy(crashes = crashes.map { if (it.upstream == upstream) withLost(it, fingerprints) else it })
-            knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> before
+            known != null && suspect.knownWhenSent < crashes.size ->
+                before.copy(crashes = crashes.map { if (it === known) withLost(it, crash.fingerprints) else it })
+            suspect.knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> before
+            known?.boot == crash.boot -> before.copy(crashes = crashes + crash.copy(boot = crash.boot + 1))
             else -> before.copy(crashes = crashes + crash)
         }
     }
@@ -128,12 +130,12 @@
      * A suspect whose crashes are all explained by earlier ones is not, or no longer, quarantined.
      */
     private fun withQuarantines(state: ControlState): ControlState {
-        val explained = HashSet<UpstreamId>()
+        val explained = HashSet<Pair<UpstreamId, Int>>()
         val due = state.suspects.entries
             .filter { it.value.crashes.size >= Suspicion.QUARANTINE_CRASHES }
             .sortedWith(MOST_LIKELY_CAUSE)
             .filter { (_, suspicion) ->
-                val hasUnexplainedCrash = explained.addAll(suspicion.crashes.map { it.upstream })
+                val hasUnexplainedCrash = explained.addAll(suspicion.crashes.map { it.key })
                 hasUnexplainedCrash
             }
         val reasons = due.associate { it.key to reason(it.value) }
--- a/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
@@ -28,6 +28,20 @@
         report(upstream, requests.toList()) { before.suspects[it]?.crashes?.size ?: 0 }
     }
 
+    /** Reports a crash as a reporter that knew the present state when it sent the requests. */
+    fun reportResent(upstream: String, vararg requests: List<Fingerprint>) {
+        val before = state
+        report(upstream, requests.toList(), sent = { before.suspects[it]?.crashes?.size ?: 0 }) {
+            before.suspects[it]?.crashes?.size ?: 0
+        }
+    }
+
+    /** Reports a crash as a reporter that knew of [sent] crashes when it sent the request, and knows the present state. */
+    fun reportSent(upstream: String, request: List<Fingerprint>, sent: (Fingerprint) -> Int) {
+        val before = state
+        report(upstream, listOf(request), sent) { before.suspects[it]?.crashes?.size ?: 0 }
+    }
+
     fun clear(fingerprint: Fingerprint) = apply(ControlCommand.ClearSuspects(listOf(fingerprint)))
 
     fun retryQuarantined() = state.quarantine.keys.forEach { apply(ControlCommand.RetryQuarantined(it)) }
@@ -42,8 +56,13 @@
         }
     }
 
-    private fun report(upstream: String, requests: List<List<Fingerprint>>, known: (Fingerprint) -> Int) {
-        val lost = requests.map { request -> LostRequest(request.map { LostRequest.Suspect(it, known(it)) }) }
+    private fun report(
+        upstream: String,
+        requests: List<List<Fingerprint>>,
+        sent: (Fingerprint) -> Int = { 0 },
+        known: (Fingerprint) -> Int,
+    ) {
+        val lost = requests.map { request -> LostRequest(request.map { LostRequest.Suspect(it, known(it), sent(it)) }) }
         apply(ControlCommand.ReportCrash(UpstreamId.parse(upstream), lost))
     }
 
@@ -74,6 +93,29 @@
                 repeat(4) { log.reportInformed("a", listOf(SHARED, fingerprint(it))) }
                 with(log) { SHARED.crashes } shouldBe 1
             }
+            // Guards against a request that crashes the same few upstreams, which keep their ids, without end.
+            it("is quarantined at the third crash of one upstream, each under a request sent after the one before") {
+                val log = EvidenceLog()
+                repeat(2) { log.reportResent("a", listOf(DEADLY)) }
+                log.isRefused(listOf(DEADLY)) shouldBe false
+                log.reportResent("a", listOf(DEADLY))
+                log.isRefused(listOf(DEADLY)) shouldBe true
+            }
+            it("counts a crash of an upstream that started again once, however many instances report it") {
+                val log = EvidenceLog()
+                log.reportResent("a", listOf(DEADLY, SHARED))
+                val sentAfterFirst = { _: Fingerprint -> 1 }
+                repeat(4) { log.reportSent("a", listOf(DEADLY, fingerprint(it)), sentAfterFirst) }
+                with(log) { DEADLY.crashes } shouldBe 2
+                log.state.suspects.getValue(DEADLY).crashes.map { it.boot } shouldBe listOf(0, 1)
+            }
+            it("explains the crashes of an upstream that starts again under its id for each of its starts alone") {
+                val log = EvidenceLog()
+                repeat(3) { log.reportResent("a", listOf(DEADLY)) }
+                repeat(3) { log.reportResent("a", listOf(SHARED)) }
+                log.isRefused(listOf(DEADLY)) shouldBe true
+                log.isRefused(listOf(SHARED)) shouldBe true
+            }
             it("is cleared by a complete answer, and released by an operator, also after its quarantine") {
                 val log = EvidenceLog()
                 log.reportInformed("a", listOf(SHARED))
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/CacheRelease.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/CacheRelease.kt
@@ -17,7 +17,7 @@
     fun send(context: SessionContext, engine: ListedUpstream, handle: String) {
         val head = context.dialect.cacheReleaseRequest(handle)
         val listener = ReleaseListener(engine)
-        context.pool.send(UpstreamCall(engine, head, ByteArray(0), null, needsFreshConnection = false, listener))
+        context.pool.send(UpstreamCall(engine, head, ByteArray(0), null, UpstreamCall.ConnectionReuse.ANY, listener))
     }
 
     private class ReleaseListener(private val engine: ListedUpstream) : UpstreamListener {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
@@ -43,10 +43,21 @@
     fun isUnclearedSuspect(fingerprints: List<Fingerprint>, nowMillis: Long): Boolean =
         fingerprints.any { it in crashCounts && !isRecentlyAnswered(it, nowMillis) }
 
-    /** Records that [upstream] crashed while it was answering a request with [fingerprints]. */
-    fun recordCrash(upstream: UpstreamId, fingerprints: List<Fingerprint>) {
+    /** Returns the known crashes under those of [fingerprints] that are under suspicion. */
+    fun knownCrashes(fingerprints: List<Fingerprint>): Map<Fingerprint, Int> =
+        fingerprints.mapNotNull { fingerprint -> crashCounts[fingerprint]?.let { fingerprint to it.crashes } }.toMap()
+
+    /**
+     * Records that [upstream] crashed while it was answering a request with [fingerprints], which was sent when the
+     * crashes [knownWhenSent] were known.
+     */
+    fun recordCrash(upstream: UpstreamId, fingerprints: List<Fingerprint>, knownWhenSent: Map<Fingerprint, Int>) {
         val requests = pendingCrashes.getOrPut(upstream) { LinkedHashSet() }
-        val lost = LostRequest(fingerprints.map { LostRequest.Suspect(it, crashCounts[it]?.crashes ?: 0) })
+        val suspects = fingerprints.map { fingerprint ->
+            val knownCrashes = crashCounts[fingerprint]?.crashes ?: 0
+            LostRequest.Suspect(fingerprint, knownCrashes, knownWhenSent[fingerprint] ?: 0)
+        }
+        val lost = LostRequest(suspects)
         if (requests.size < MAX_REQUESTS_PER_CRASH) requests.add(lost)
         if (pendingCrashes.size > MAX_PENDING_CRASHES) pendingCrashes.remove(pendingCrashes.keys.first())
         onReportDue()
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -117,7 +117,7 @@
         }
 
         override fun onFailure(failure: UpstreamFailure) {
-            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt().upstream.id)
+            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt())
             onAttemptFailed(attempt(), failure.end, failure.reason)
         }
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -89,12 +89,13 @@
     protected fun takeFromRetryBudget(): Boolean = context.tryTakeRetry(request.serviceName)
 
     /**
-     * Records that [upstream] may have crashed while it was answering the request. If that is not the first crash under
-     * one of its fingerprints, the request is not sent again, as it would probably crash the next upstream too.
+     * Records that the upstream of [attempt] may have crashed while it was answering the request. If that is not the first
+     * crash under one of its fingerprints, the request is not sent again, as it would probably crash the next upstream
+     * too.
      */
-    protected fun recordCrash(upstream: UpstreamId) {
+    protected fun recordCrash(attempt: UpstreamAttempt) {
         if (context.crashes.isUnclearedSuspect(request.fingerprints, context.nowMillis())) isRetryAllowed = false
-        context.crashes.recordCrash(upstream, request.fingerprints)
+        context.crashes.recordCrash(attempt.upstream.id, request.fingerprints, attempt.knownCrashes)
     }
 
     /** Returns the fingerprints of the request that are under suspicion now. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -167,7 +167,7 @@
         if (attempt.upstream.stage == EngineStage.PREFILL) {
             onPrefillFailed(attempt, AttemptEnd.SILENT, "silent")
         } else {
-            recordCrash(attempt.upstream.id)
+            recordCrash(attempt)
             onAttemptFailed(attempt, AttemptEnd.SILENT, "silent")
         }
     }
@@ -299,7 +299,7 @@
         }
 
         override fun onFailure(failure: UpstreamFailure) {
-            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt().upstream.id)
+            if (failure is UpstreamFailure.ConnectionLost) recordCrash(attempt())
             onAttemptFailed(attempt(), failure.end, failure.reason)
         }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -1,5 +1,6 @@
 package marigoldward.gateway.session
 
+import marigoldward.core.control.Fingerprint
 import marigoldward.core.dispatch.Attempt
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.ListedUpstream
@@ -36,6 +37,10 @@
     private var call: UpstreamCall? = null
     private var hasEnded = false
 
+    /** The crashes under the fingerprints of the request that were known when it was sent. */
+    var knownCrashes: Map<Fingerprint, Int> = emptyMap()
+        private set
+
     /** Whether no bytes at all were received from the upstream, for any request, since this request was sent. */
     val hasReceivedNothing: Boolean
         get() {
@@ -65,7 +70,13 @@
         val remainingMillis = request.deadlineMillis - nowMillis
         val record = context.dispatcher.recordOrNull(upstream.id)
         SessionLog.sent(request, attempt, step, cacheSource, record, remainingMillis)
-        val newCall = UpstreamCall(upstream, head, request.body, request.id, needsFreshConnection, AttemptListener())
+        if (!context.crashes.isEmpty) knownCrashes = context.crashes.knownCrashes(request.fingerprints)
+        val reuse = when {
+            knownCrashes.isNotEmpty() -> UpstreamCall.ConnectionReuse.NONE
+            needsFreshConnection -> UpstreamCall.ConnectionReuse.RECENTLY_USED
+            else -> UpstreamCall.ConnectionReuse.ANY
+        }
+        val newCall = UpstreamCall(upstream, head, request.body, request.id, reuse, AttemptListener())
         call = newCall
         context.pool.send(newCall)
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
@@ -7,17 +7,28 @@
  * One request to an upstream.
  *
  * @property expectedRequestId the request id that the response must bear, or null for any
- * @property needsFreshConnection whether only a new or recently used connection may carry the request, because it must
- *   not be sent twice
+ * @property reuse which of the open connections may carry the request
  */
 internal class UpstreamCall(
     val upstream: ListedUpstream,
     val head: RequestHead,
     val body: ByteArray,
     val expectedRequestId: String?,
-    val needsFreshConnection: Boolean,
+    val reuse: ConnectionReuse,
     val listener: UpstreamListener,
 ) {
+    /** Which open connections may carry a request; others leave it to a new one. */
+    enum class ConnectionReuse {
+        /** Any that is usable. */
+        ANY,
+
+        /** Only recently used ones, because the request must not be sent twice. */
+        RECENTLY_USED,
+
+        /** None, so that the upstream is known to run when the request is sent. */
+        NONE,
+    }
+
     private var connection: UpstreamConnection? = null
 
     /** Whether [cancel] was called. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -22,7 +22,7 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 
-    /** Sends [call] over an idle connection, or over a new one if no idle one is usable. */
+    /** Sends [call] over an idle connection that it may reuse, or over a new one if there is none. */
     fun send(call: UpstreamCall) {
         val connection = idleOrNull(call)
         if (connection == null) connect(call) else connection.send(call)
@@ -62,7 +62,11 @@
     private fun idleOrNull(call: UpstreamCall): UpstreamConnection? {
         val connections = idle[call.upstream.id] ?: return null
         val nowMillis = MonotonicClock.nowMillis()
-        val maxIdleMillis = if (call.needsFreshConnection) MAX_FRESH_IDLE_MILLIS else MAX_IDLE_MILLIS
+        val maxIdleMillis = when (call.reuse) {
+            UpstreamCall.ConnectionReuse.ANY -> MAX_IDLE_MILLIS
+            UpstreamCall.ConnectionReuse.RECENTLY_USED -> MAX_FRESH_IDLE_MILLIS
+            UpstreamCall.ConnectionReuse.NONE -> return null
+        }
         while (connections.isNotEmpty()) {
             val newest = connections.removeLast()
             if (isUsable(newest, nowMillis, maxIdleMillis)) return newest
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/CrashSuspicionsTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/CrashSuspicionsTest.kt
@@ -31,20 +31,20 @@
             it("names all requests that were lost with an upstream, with the crashes that were known at that time") {
                 val suspicions = CrashSuspicions()
                 suspicions.update(counts(1, mapOf(DEADLY to 2)), nowMillis = 0)
-                suspicions.recordCrash(UPSTREAM, listOf(DEADLY))
+                suspicions.recordCrash(UPSTREAM, listOf(DEADLY), emptyMap())
                 suspicions.update(counts(2, mapOf(DEADLY to 3)), nowMillis = 0)
-                suspicions.recordCrash(UPSTREAM, listOf(DEADLY, SHARED))
+                suspicions.recordCrash(UPSTREAM, listOf(DEADLY, SHARED), mapOf(DEADLY to 1))
                 val crash = suspicions.takeReportOrNull().shouldNotBeNull().crashes.single()
                 crash.upstream shouldBe UPSTREAM
                 crash.requests shouldBe listOf(
                     LostRequest(listOf(LostRequest.Suspect(DEADLY, 2))),
-                    LostRequest(listOf(LostRequest.Suspect(DEADLY, 3), LostRequest.Suspect(SHARED, 0))),
+                    LostRequest(listOf(LostRequest.Suspect(DEADLY, 3, 1), LostRequest.Suspect(SHARED, 0))),
                 )
                 suspicions.takeReportOrNull().shouldBeNull()
             }
             it("is sent again if it could not be delivered") {
                 val suspicions = CrashSuspicions()
-                suspicions.recordCrash(UPSTREAM, listOf(DEADLY))
+                suspicions.recordCrash(UPSTREAM, listOf(DEADLY), emptyMap())
                 val report = suspicions.takeReportOrNull().shouldNotBeNull()
                 suspicions.restore(report)
                 suspicions.takeReportOrNull() shouldBe report
@@ -54,7 +54,7 @@
                 repeat(200) { crash ->
                     repeat(500) { request ->
                         val fingerprint = Fingerprint.parse((crash * 500 + request).toString(16))
-                        suspicions.recordCrash(UpstreamId.parse("u-$crash"), listOf(fingerprint))
+                        suspicions.recordCrash(UpstreamId.parse("u-$crash"), listOf(fingerprint), emptyMap())
                     }
                 }
                 val report = suspicions.takeReportOrNull().shouldNotBeNull()
