--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.util.concurrent.DefaultThreadFactory
 import marigoldward.core.Outcome
+import marigoldward.core.dispatch.BudgetSharers
 import marigoldward.core.dispatch.Dispatcher
 import marigoldward.core.dispatch.PlacementCosts
 import marigoldward.core.dispatch.RetryBudgetShare
@@ -14,6 +15,7 @@
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.RequestMemory
 import marigoldward.gateway.caller.StatusServer
+import marigoldward.gateway.control.BudgetSharersLog
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
 import marigoldward.gateway.session.CrashSuspicions
@@ -49,7 +51,12 @@
     private val dispatcher = Dispatcher(settings.dataCentre, PlacementCosts.DEFAULT, random.nextLong())
     private val pool = UpstreamPool(loop, dialect)
     private val crashes = CrashSuspicions()
-    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget)
+    private val startedMillis = MonotonicClock.nowMillis()
+    private val budgetSharers = BudgetSharers(settings.retryBudgetWindowMillis, startedMillis)
+    private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
+    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget) {
+        budgetSharers.count(MonotonicClock.nowMillis())
+    }
     private val gateway = Gateway(context, random)
     private val memory = RequestMemory.ofHeap()
     private val callerServer = CallerServer(loop, ::callerLimits, memory, gateway::handle)
@@ -60,7 +67,6 @@
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
-    private val startedMillis = MonotonicClock.nowMillis()
     private var isShuttingDown = false
 
     /** A configuration from a control instance whose state is not fresh, so that there may be a newer one. */
@@ -109,10 +115,17 @@
     private fun newRetryBudget(): RetryBudgetShare =
         RetryBudgetShare(settings.retryBudgetRatio, settings.retryBudgetSlack, settings.retryBudgetWindowMillis)
 
+    private fun logBudgetSharers(reported: Int?, isFresh: Boolean) {
+        val nowMillis = MonotonicClock.nowMillis()
+        budgetSharersLog.record(budgetSharers.count(nowMillis), reported, isFresh, nowMillis)
+    }
+
     private fun callerLimits(): CallerLimits = gateway.configuration?.limits ?: CallerLimits.DEFAULT
 
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
         context.gatewayCount = maxOf(1, update.entryCount)
+        budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
+        logBudgetSharers(update.entryCount, isFresh)
         update.routes?.let { considerConfiguration(it, isFresh) }
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
         if (isFresh) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
@@ -168,6 +181,7 @@
         GatewayMetrics.directoryAgeSeconds.set((directoryBook.ageMillisOrNull(nowMillis) ?: 0) / MILLIS_PER_SECOND)
         val isWaitOver = nowMillis - startedMillis > FRESH_CONFIGURATION_TIMEOUT_MILLIS
         if (isWaitOver) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
+        logBudgetSharers(reported = null, isFresh = false)
         if (gateway.configuration != null && directoryBook.markReadStartedIfDue(nowMillis)) directory.poll()
     }
 
