A cancelled call leaves the next call of its connection alone

Its request had been rejected by a full engine and waited in the entry; the session still held the ended attempt, and cancelling that closed the connection, which by then carried the other caller's stream. Closing dropped the stream's call without a callback, so that its caller waited until the time-out.

A call now lets go of its connection when it ends, a cancel acts only on a connection that still carries the call, and closing a connection ends the call on it with a failure. So neither a stale reference nor a close can leave a request without an end.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamCall.kt
@@ -18,16 +18,20 @@
     val needsFreshConnection: Boolean,
     val listener: UpstreamListener,
 ) {
+    /** The connection that carries the call, or null before it is sent and after it has ended. */
     private var connection: UpstreamConnection? = null
 
     /** Whether [cancel] was called. */
     var isCancelled: Boolean = false
         private set
 
-    /** Ends the call without a call to [listener] and closes its connection, which the upstream notices. */
+    /**
+     * Ends the call without a call to [listener] and closes its connection, which the upstream notices. Has no effect
+     * after the end of the call, when its connection may carry another one.
+     */
     fun cancel() {
         isCancelled = true
-        connection?.close()
+        connection?.cancel(this)
     }
 
     /** Reads no more of the response until [resumeReading]. Has no effect after the end of the call. */
@@ -43,4 +47,8 @@
     internal fun attachTo(connection: UpstreamConnection) {
         this.connection = connection
     }
+
+    internal fun detach() {
+        connection = null
+    }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -69,10 +69,17 @@
         }
     }
 
-    /** Closes the connection without a call to the listener of the current call. */
+    /** Closes the connection without a call to the listener of [carried]. Does nothing unless it carries that call. */
+    fun cancel(carried: UpstreamCall) {
+        if (call !== carried) return
+        letGo(carried)
+        channel.close()
+    }
+
+    /** Closes the connection; a call that it carries ends with a failure. */
     fun close() {
-        call = null
         channel.close()
+        fail(UpstreamFailure.Closed)
     }
 
     /** Reads the response to [carried] or stops reading it. Does nothing unless the connection carries that call. */
@@ -160,7 +167,7 @@
     }
 
     private fun finish(current: UpstreamCall) {
-        call = null
+        letGo(current)
         // An idle connection has to notice that the upstream closes it.
         channel.config().isAutoRead = true
         if (isReusable && isRequestWritten && channel.isActive) onIdle(this) else channel.close()
@@ -169,10 +176,15 @@
 
     private fun fail(failure: UpstreamFailure) {
         val current = call ?: return
-        call = null
+        letGo(current)
         current.listener.onFailure(failure)
     }
 
+    private fun letGo(ended: UpstreamCall) {
+        call = null
+        ended.detach()
+    }
+
     private fun keepAliveMillisOrNull(headers: Headers): Long? = headers
         .first("Keep-Alive")
         ?.split(',')
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamFailure.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamFailure.kt
@@ -24,4 +24,10 @@
     data class Broken(override val reason: String) : UpstreamFailure {
         override val end: AttemptEnd get() = AttemptEnd.BROKEN
     }
+
+    /** The request was sent, and the gateway itself closed the connection before the end of the response. */
+    data object Closed : UpstreamFailure {
+        override val reason: String get() = "the gateway closed the connection"
+        override val end: AttemptEnd get() = AttemptEnd.BROKEN
+    }
 }
