Start each admitted long prompt in a task of its own

A long prompt that ended as soon as it was admitted, for instance because no engine was left, admitted the next one on its own stack. With a long queue that exhausts the 256 KB stack of the deployed event loop; the requests behind stay without an end until their deadlines, and the failure reaches the request that released the slot.

Such a queue was not seen in a deployment.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/LongPromptAdmission.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/LongPromptAdmission.kt
@@ -72,10 +72,14 @@
         }
     }
 
+    /**
+     * Starts the prompt in a task of its own. One that ends at once admits the next, so a long queue would otherwise
+     * exhaust the stack, and a failure in one request would reach the one that released its slot.
+     */
     private fun admit() {
         isQueued = false
         admittedMillis = context.nowMillis()
-        onAdmitted()
+        context.schedule(0) { if (admittedMillis != null) onAdmitted() }
     }
 
     private companion object {
