A stopping entry waits on while its event loop does not answer

A stopping entry asks its event loop whether requests are in progress, and took no answer within a second for a no. With a loop that was busy for 5 s it ended its requests early: a call in progress got 502 seconds before the end of the grace period.

No answer now counts as requests in progress; the wait is bounded by the grace period as before.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -57,7 +57,8 @@
     }
 
     private fun hasRequestsInProgress(): Boolean {
-        var hasRequests = false
+        // An event loop that lags does not answer in time and may have requests.
+        var hasRequests = true
         onLoop { hasRequests = callerServer.isBusy }
         return hasRequests
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
@@ -20,6 +20,9 @@
 private const val LONG_STREAM_EVENTS = 45
 private const val LONG_GRACE_MILLIS = 6_000L
 private const val READINESS_PROPAGATION_MILLIS = 2_500L
+private const val LAG_GRACE_MILLIS = 10_000L
+private const val LAG_START_MILLIS = 2_300L
+private const val LAG_END_MILLIS = 7_300L
 
 /** How a request ended for its caller. */
 private data class Ending(
@@ -160,6 +163,27 @@
                 }
             }
         }
+        // Guards against a request that is cut off because the loop's silence was taken for the end of all requests.
+        describe("a request in progress while the event loop lags") {
+            it("is awaited") {
+                FakeUpstream {
+                    Thread.sleep(LAG_END_MILLIS + 1_000)
+                    it.respond("done")
+                }.use { upstream ->
+                    TestGateway(listOf(upstream.address to null), timeoutMillis = 9_500).use { gateway ->
+                        gateway.caller().use { caller ->
+                            caller.send(request("/n/x", "1"))
+                            Thread.sleep(100)
+                            val shutdown = thread { gateway.shutDown(LAG_GRACE_MILLIS) }
+                            Thread.sleep(LAG_START_MILLIS)
+                            gateway.onLoop { Thread.sleep(LAG_END_MILLIS - LAG_START_MILLIS) }
+                            caller.use { it.readResponse().shouldNotBeNull().status shouldBe 200 }
+                            shutdown.join()
+                        }
+                    }
+                }
+            }
+        }
         // A stopping gateway took streams by the length of earlier ones and cut off those that lasted longer.
         describe("a stream that lasts longer than any before it on its route") {
             it("is refused as not run once callers have been sent elsewhere, and is not cut off") {
