Log and count failures of the gateway's timers, and go on after them

An event loop discards what a timer throws and runs a repeated task no more after it. So logs could not tell whether a request without an answer had lost its timer to an exception, and one exception would have ended the task that moves to another control instance for good. Failures are logged (task_failed) and counted (marigoldward_failed_tasks_total). At its time-out and at the exit a session is ended even if cancelling its work fails, and one that fails at the exit leaves the others to be ended.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -31,6 +31,12 @@
             .help("Attempts at upstreams, by how they ended")
             .labelNames("end")
             .register()
+    val failedTasks: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_failed_tasks_total")
+            .help("Tasks of the event loop that ended with an exception")
+            .register()
     private val firstPartSeconds: Histogram =
         histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
     private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -93,7 +93,7 @@
     }
 
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
-        loop.scheduleWithFixedDelay(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(loggedTask(action), periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun newRetryBudget(): RetryBudgetShare =
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/LoggedTask.kt
@@ -0,0 +1,21 @@
+package marigoldward.gateway
+
+import marigoldward.support.log.EventLog
+
+private val log = EventLog.fromName("loop")
+
+/**
+ * Returns a task for an event loop that runs [action] and logs its failure. The loop itself discards failures, and
+ * runs a repeated task no more after one.
+ */
+internal fun loggedTask(action: () -> Unit): Runnable = Runnable {
+    try {
+        action()
+    } catch (failure: RuntimeException) {
+        GatewayMetrics.failedTasks.inc()
+        log.warn("task_failed") {
+            field("reason", failure)
+            field("at", failure.stackTrace.firstOrNull())
+        }
+    }
+}
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -52,8 +52,11 @@
     fun endForExit() {
         if (hasEnded) return
         val end = if (mayHaveRun) SessionEnd.Unknown(SHUTTING_DOWN) else SessionEnd.NotRun.BY_SHUTDOWN
-        cancelUpstreamWork("shutting down")
-        endUnanswered(end)
+        try {
+            cancelUpstreamWork("shutting down")
+        } finally {
+            endUnanswered(end)
+        }
     }
 
     /** Records that an attempt is sent which runs the request. */
@@ -62,8 +65,11 @@
     }
 
     private fun onTimeout() {
-        cancelUpstreamWork("time over")
-        endUnanswered(SessionEnd.TimedOut)
+        try {
+            cancelUpstreamWork("time over")
+        } finally {
+            endUnanswered(SessionEnd.TimedOut)
+        }
     }
 
     /** Records that an attempt at [upstream] ended as [end]. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -9,6 +9,7 @@
 import marigoldward.core.model.PoolName
 import marigoldward.core.routes.Route
 import marigoldward.gateway.Dialect
+import marigoldward.gateway.loggedTask
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.TimeUnit
@@ -48,7 +49,7 @@
 
     /** Ends all sessions, as the gateway is about to exit; those first that wait, so that none of them is sent. */
     fun endSessionsForExit() {
-        activeSessions.sortedBy { it.mayHaveRun }.forEach(Session::endForExit)
+        activeSessions.sortedBy { it.mayHaveRun }.forEach { loggedTask(it::endForExit).run() }
     }
 
     /** Returns this gateway's share of the retry budget of [service]. */
@@ -64,5 +65,5 @@
 
     /** Runs [action] on the event loop thread after [delayMillis], at once if that is negative. */
     fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
-        loop.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
+        loop.schedule(loggedTask(action), maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
 }
