--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -22,10 +22,11 @@
         socket.getOutputStream().flush()
     }
 
-    /** Reads one response; returns null if the connection was closed before it. */
-    fun readResponse(): Response? {
+    /** Reads one response, to a `HEAD` request if [isHead]; returns null if the connection was closed before it. */
+    fun readResponse(isHead: Boolean = false): Response? {
         val head = readUntil("\r\n\r\n") ?: return null
         val status = head.substring(9, 12).toInt()
+        if (isHead) return Response(status, head, "", true)
         val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt()
         if (length != null) {
             val body = String(input.readNBytes(length), Charsets.ISO_8859_1)
