--- a/core/src/main/kotlin/marigoldward/core/replication/internal/FollowerReplication.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/FollowerReplication.kt
@@ -46,6 +46,11 @@
         if (point.index <= follower.commitIndex) {
             return reply(follower, from, accepted = true, follower.commitIndex, install.round)
         }
+        if (follower.log.termAtOrNull(point.index) == point.term) {
+            // The log holds all that the snapshot covers, and entries after it that the leader may have counted.
+            return advanceCommitIndex(follower, point.index)
+                .then { reply(it, from, accepted = true, point.index, install.round) }
+        }
         val restored = follower.copy(log = ReplicaLog.fromEntries(point, emptyList()), commitIndex = point.index)
         val persisted = restored.withActions(ReplicaAction.PersistSnapshot(install.snapshot))
         return persisted.then { reply(it, from, accepted = true, point.index, install.round) }
