Keep acknowledged log entries through disk errors

Three faults of the log of a control instance, each of which loses or garbles entries that were acknowledged: - After a rewrite whose folder sync failed, the log went on in the file that had been replaced. - A batch that replaced entries and was rolled back left the file without them, while memory kept them: later entries followed a gap. - After an install that was cut short between its two files, a replaced entry stayed beside its replacement.

The log file now only grows until it is rewritten, and a record replaces the entry of its index and all later ones when it is read. So a roll-back restores the file exactly, and there are no positions to go wrong. A rewritten file is used as soon as it is in place, and nothing counts as durable before its name does. A log that lacks an entry is refused as damaged. A roll-back that fails is logged and done by the next write; it ended the process before.

No real power cut was tried.

--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
@@ -142,7 +142,11 @@
     }
 
     private fun handleDiskFailure(failure: IOException) {
-        storage.rollBack()
+        try {
+            storage.rollBack()
+        } catch (rollBackFailure: IOException) {
+            log.warn("disk_rollback_failed") { field("error", rollBackFailure) }
+        }
         if (isDiskWritable) log.warn("disk_write_failed") { field("error", failure) }
         isDiskWritable = false
     }
--- a/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
@@ -16,21 +16,26 @@
 /**
  * The file that holds the log entries after the snapshot, one checksummed record each.
  *
- * Written entries are durable after [sync]. After a failed write, [rollBack] removes what was written since the last
- * [sync]. Each record contains the number of bytes that were durable when it was written. This distinguishes damage to
+ * Written entries are durable after [sync]. Records are only added: one with an index that the file already holds
+ * replaces that entry and all later ones. So [rollBack] restores what the file held at the last [sync].
+ *
+ * Each record contains the number of bytes that were durable when it was written. This distinguishes damage to
  * durable records, which is an error, from an incomplete write after a loss of power, of which any part may be on disk.
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal class EntryLog private constructor(
     private val path: Path,
     private var channel: FileChannel,
-    private var positions: List<Position>,
+    private val makeNamesDurable: (Path) -> Unit,
 ) : AutoCloseable {
-    private data class Position(val index: Long, val offset: Long)
-
-    private var syncedPositions = positions
     private var syncedBytes = channel.size()
 
+    /** The end of the records that were written and not rolled back. */
+    private var writtenBytes = syncedBytes
+
+    /** Whether the name of the file is durable, without which its content is lost with the power. */
+    private var isNameDurable = false
+
     /** The size of the file in bytes. */
     val sizeBytes: Long get() = channel.size()
 
@@ -40,60 +45,72 @@
      * @throws IOException if the file can't be written
      */
     fun write(entries: List<LogEntry>) {
-        truncateFrom(entries.first().index)
-        val addedPositions = ArrayList<Position>(entries.size)
-        entries.forEach { entry ->
-            addedPositions.add(Position(entry.index, channel.position()))
-            channel.writeFully(frame(encode(Record(syncedBytes, entry))))
-        }
-        positions = positions + addedPositions
+        if (channel.size() > writtenBytes) channel.truncate(writtenBytes)
+        channel.position(writtenBytes)
+        channel.writeRecords(entries, syncedBytes)
+        writtenBytes = channel.position()
     }
 
-    /** Makes all written entries durable. */
+    /**
+     * Makes all written entries durable.
+     *
+     * @throws IOException if they may not be
+     */
     fun sync() {
         channel.force(false)
-        syncedPositions = positions
-        syncedBytes = channel.position()
+        makeNameDurable()
+        syncedBytes = writtenBytes
     }
 
-    /** Removes the entries written since the last [sync]. Entries that they have replaced are not restored. */
+    /**
+     * Drops the entries written since the last [sync], and restores those that they replaced.
+     *
+     * @throws IOException if the file can't be truncated; the next [write] tries again
+     */
     fun rollBack() {
-        channel.truncate(syncedBytes)
-        channel.position(syncedBytes)
-        positions = syncedPositions
+        writtenBytes = syncedBytes
+        channel.truncate(writtenBytes)
     }
 
-    /** Replaces the whole content by [entries], which are durable when this returns. */
+    /**
+     * Replaces the whole content by [entries], which are durable when this returns.
+     *
+     * @throws IOException if they may not be; the log then holds its earlier content or [entries]
+     */
     fun rewrite(entries: List<LogEntry>) {
-        val temporary = path.resolveSibling("${path.fileName}.new")
-        Files.deleteIfExists(temporary)
-        val replacement = EntryLog(temporary, openChannel(temporary), emptyList())
-        if (entries.isNotEmpty()) replacement.write(entries)
-        replacement.sync()
-        Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-        syncFolder(path.parent)
+        val replacement = writeReplacement(entries)
         channel.close()
-        channel = replacement.channel
-        positions = replacement.positions
-        syncedPositions = positions
-        syncedBytes = channel.position()
+        channel = replacement
+        syncedBytes = channel.size()
+        writtenBytes = syncedBytes
+        isNameDurable = false
+        makeNameDurable()
     }
 
     override fun close() {
         channel.close()
     }
 
-    private fun truncateFrom(index: Long) {
-        val first = positions.firstOrNull()?.index ?: return
-        val keep = (index - first).coerceIn(0, positions.size.toLong()).toInt()
-        if (keep == positions.size) return
-        val end = positions[keep].offset
-        channel.truncate(end)
-        channel.position(end)
-        channel.force(true)
-        syncedBytes = minOf(syncedBytes, end)
-        positions = positions.subList(0, keep)
-        syncedPositions = positions
+    /** Puts a durable file with [entries] in the place of this one, and returns its channel. */
+    private fun writeReplacement(entries: List<LogEntry>): FileChannel {
+        val temporary = path.resolveSibling("${path.fileName}.new")
+        Files.deleteIfExists(temporary)
+        val replacement = openChannel(temporary)
+        try {
+            replacement.writeRecords(entries, durableBytes = 0)
+            replacement.force(true)
+            Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        } catch (failure: IOException) {
+            replacement.close()
+            throw failure
+        }
+        return replacement
+    }
+
+    private fun makeNameDurable() {
+        if (isNameDurable) return
+        makeNamesDurable(path.parent)
+        isNameDurable = true
     }
 
     /** An [entry], and the number of bytes of the file that were durable when it was written. */
@@ -106,16 +123,17 @@
     companion object {
         /**
          * Opens the file at [path]. Incomplete writes at its end are cut off; damage to durable records is an error.
+         *
+         * @param makeNamesDurable makes the names of the files in a folder durable
          */
-        fun open(path: Path): Outcome<Opened, StorageProblem> {
+        fun open(path: Path, makeNamesDurable: (Path) -> Unit = ::syncFolder): Outcome<Opened, StorageProblem> {
             val data = if (Files.exists(path)) ByteBuffer.wrap(Files.readAllBytes(path)) else ByteBuffer.allocate(0)
             val entries = ArrayList<LogEntry>()
-            val positions = ArrayList<Position>()
             var offset = 0
             while (true) {
                 val payload = unframeOrNull(data, offset) ?: break
                 val entry = decode(payload).entry
-                positions.add(Position(entry.index, offset.toLong()))
+                while (entries.isNotEmpty() && entries.last().index >= entry.index) entries.removeAt(entries.lastIndex)
                 entries.add(entry)
                 offset += HEADER_BYTES + payload.size
             }
@@ -124,10 +142,9 @@
             }
             val channel = openChannel(path)
             channel.truncate(offset.toLong())
-            channel.position(offset.toLong())
             channel.force(true)
             val tornBytes = data.limit() - offset.toLong()
-            return Outcome.Success(Opened(EntryLog(path, channel, positions), entries, tornBytes))
+            return Outcome.Success(Opened(EntryLog(path, channel, makeNamesDurable), entries, tornBytes))
         }
 
         /**
@@ -137,6 +154,9 @@
             .mapNotNull { unframeOrNull(data, it) }
             .maxOfOrNull { decode(it).durableBytes } ?: 0
 
+        private fun FileChannel.writeRecords(entries: List<LogEntry>, durableBytes: Long) =
+            entries.forEach { writeFully(frame(encode(Record(durableBytes, it)))) }
+
         private fun encode(record: Record): ByteArray = ProtoBuf.encodeToByteArray(Record.serializer(), record)
 
         private fun decode(payload: ByteArray): Record = ProtoBuf.decodeFromByteArray(Record.serializer(), payload)
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
@@ -28,7 +28,7 @@
     /** Makes written entries durable. */
     fun sync()
 
-    /** Removes the entries written since the last [sync]. */
+    /** Drops the entries written since the last [sync], and restores those that they replaced. */
     fun rollBack()
 
     /** Replaces the snapshot by [newest] and the log by [entries], which must be the entries after the snapshot. */
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -141,15 +141,27 @@
             val snapshotFile = RecordFile(folder.resolve(SNAPSHOT), Snapshot.serializer())
             return readRequired(folder, HARD_STATE, hardStateFile).flatMap { hardState ->
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
-                    EntryLog.open(folder.resolve(LOG)).map { opened ->
-                        val entries = opened.entries.filter { it.index > snapshot.point.index }
-                        val recovered = ReplicaStorage.Recovered(hardState, snapshot, entries, opened.tornBytes)
+                    openLog(folder.resolve(LOG), snapshot.point.index).map { opened ->
+                        val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
                         ReplicaStore(folder, lock, identity.replica, opened.log, recovered)
                     }
                 }
             }
         }
 
+        /** Opens the log at [path], with the entries after the snapshot up to [snapshotIndex], none of which may lack. */
+        private fun openLog(path: Path, snapshotIndex: Long): Outcome<EntryLog.Opened, StorageProblem> =
+            EntryLog.open(path).flatMap { opened ->
+                val entries = opened.entries.filter { it.index > snapshotIndex }
+                val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == snapshotIndex + 1 + offset }
+                if (isGapless) {
+                    Outcome.Success(opened.copy(entries = entries))
+                } else {
+                    opened.log.close()
+                    Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
+                }
+            }
+
         private fun <T : Any> readRequired(
             folder: Path,
             name: String,
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -169,6 +169,36 @@
                 }
                 open(folder).use { it.recovered.entries shouldBe entries(1L..3L) }
             }
+            // Guards against acknowledged entries that are gone after a restart, because a failed write had left a gap.
+            it("restores the entries that a batch replaced which was rolled back") {
+                val folder = writeEntries(initialisedFolder(), 1L..5L)
+                open(folder).use { store ->
+                    store.writeEntries(listOf(LogEntry(3, 2, EntryPayload.Noop)))
+                    store.rollBack()
+                    store.writeEntries(entries(6L..6L))
+                    store.sync()
+                }
+                open(folder).use { it.recovered.entries shouldBe entries(1L..6L) }
+            }
+            it("is refused if entries are missing from it") {
+                val folder = writeEntries(writeEntries(initialisedFolder(), 1L..2L), 4L..4L)
+                val log = folder.resolve("log")
+                ReplicaStore.open(folder, "cluster", NEW_REPLICA).errorOrNull() shouldBe
+                    StorageProblem.Corrupt(log.toString(), 0)
+            }
+            // Guards against an entry that stays beside the one that replaced it, after an install that was cut short.
+            it("replaces entries behind those that a snapshot covers, if it was cut short after the snapshot") {
+                val folder = writeEntries(initialisedFolder(), 1L..3L)
+                val snapshot = Snapshot(SnapshotPoint(7, 1, Members(setOf(SELF))), ControlState.EMPTY)
+                RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                writeEntries(folder, 8L..9L)
+                open(folder).use { store ->
+                    store.recovered.entries shouldBe entries(8L..9L)
+                    store.writeEntries(listOf(LogEntry(9, 2, EntryPayload.Noop)))
+                    store.sync()
+                }
+                open(folder).use { it.recovered.entries shouldBe entries(8L..8L) + LogEntry(9, 2, EntryPayload.Noop) }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
