--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStorage.kt
@@ -28,7 +28,7 @@
     /** Makes written entries durable. */
     fun sync()
 
-    /** Removes the entries written since the last [sync]. Entries that they have replaced are not restored. */
+    /** Drops the entries written since the last [sync], and restores those that they replaced. */
     fun rollBack()
 
     /** Replaces the log by [entries], which are durable when this returns. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -101,15 +101,7 @@
     }
 
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
-        val guarded = Runnable {
-            // The loop would drop an action that throws, silently.
-            try {
-                action()
-            } catch (failure: Throwable) {
-                log.warn("repeated_action_failed") { field("error", failure.stackTraceToString()) }
-            }
-        }
-        loop.scheduleWithFixedDelay(guarded, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(loggedTask(action), periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun newRetryBudget(): RetryBudgetShare =
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -10,6 +10,7 @@
 import marigoldward.core.routes.Route
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.GatewayMetrics
+import marigoldward.gateway.loggedTask
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.TimeUnit
@@ -54,7 +55,7 @@
 
     /** Ends all sessions, as the gateway is about to exit; those first that wait, so that none of them is sent. */
     fun endSessionsForExit() {
-        activeSessions.sortedBy { it.mayHaveRun }.forEach(Session::endForExit)
+        activeSessions.sortedBy { it.mayHaveRun }.forEach { loggedTask(it::endForExit).run() }
     }
 
     /** Counts a request for [service], from which retries may be taken later. */
@@ -79,5 +80,5 @@
 
     /** Runs [action] on the event loop thread after [delayMillis], at once if that is negative. */
     fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
-        loop.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
+        loop.schedule(loggedTask(action), maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
 }
