Ask for a request's body only when no response is in progress on its connection

What callers saw: "HTTP/1.1 100 Continue" between two chunks of a stream, when the next request on the connection had the header Expect: 100-continue. The response in progress could not be read any further. Callers before HTTP/1.1 got one too.

Cause: the interim response was written as soon as the head of a request arrived, whatever was being written.

Change: it is written once the responses to all earlier requests have ended, unless the body has begun to come; never before HTTP/1.1. All that is written to a caller is now in the order of its requests.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -48,6 +48,9 @@
     ) {
         val body = ByteArrayOutputStream(0)
 
+        /** Whether the caller sends the body only after an interim response, which it has not got yet. */
+        var awaitsContinue = !isBeforeHttp11 && head.headers.hasToken("Expect", "100-continue")
+
         fun toRequest(): CallerRequest = CallerRequest(head, body.toByteArray(), arrivedMillis)
     }
 
@@ -139,12 +142,23 @@
             return
         }
         incoming = IncomingRequest(head, keepsConnection, isBeforeHttp11, MonotonicClock.nowMillis())
-        if (headers.hasToken("Expect", "100-continue")) write(Http1Encoder.continueResponse(context.alloc()))
+        askForBody()
+    }
+
+    /** Asks for the body that the caller holds back, unless the response to an earlier request is due first. */
+    private fun askForBody() {
+        val request = incoming ?: return
+        if (!request.awaitsContinue || current != null) return
+        request.awaitsContinue = false
+        write(Http1Encoder.continueResponse(context.alloc()))
     }
 
     private fun onRequestContent(content: HttpContent) {
         val request = incoming ?: return
-        if (content.content().isReadable) request.body.writeBytes(ByteBufUtil.getBytes(content.content()))
+        if (content.content().isReadable) {
+            request.awaitsContinue = false
+            request.body.writeBytes(ByteBufUtil.getBytes(content.content()))
+        }
         if (request.body.size() > server.limits.maxBodyBytes) {
             rejectRequest(BODY_TOO_LARGE, "the body is larger than ${server.limits.maxBodyBytes} bytes")
             return
@@ -203,6 +217,7 @@
         when {
             !keepsConnection || isClosing -> closeGracefully()
             next != null -> startExchange(next)
+            else -> askForBody()
         }
     }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -26,6 +26,7 @@
     fun readResponse(): Response? {
         val head = readUntil("\r\n\r\n") ?: return null
         val status = head.substring(9, 12).toInt()
+        if (status in INTERIM_STATUSES) return Response(status, head, "", true)
         val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt()
         if (length != null) {
             val body = String(input.readNBytes(length), Charsets.ISO_8859_1)
@@ -64,4 +65,9 @@
         }
         return text.toString()
     }
+
+    private companion object {
+        /** Statuses of responses that consist of a head only and come before the final response. */
+        val INTERIM_STATUSES = 100..199
+    }
 }
