Close a caller's connection only once the socket has taken the whole response

What callers saw: a response cut short when they read it slowly. On a connection to be closed after it, 2,809,856 of 4,194,304 bytes came. A stream before HTTP/1.1, which ends with its connection, lacked its end and looked complete. A kept connection was idle as soon as its response had been handed to Netty, so a shutdown or the idle timeout cut the rest.

Cause: shutting down output drops what Netty has not sent yet, and an idle connection was one without a request, not one without unsent bytes.

Change: output is shut down when the last write is done, and a connection with unsent bytes is busy, so a shutdown waits for it until its grace period is over. A caller that has not taken a response for the idle timeout is reset, so that the response does not look complete. A closing connection gets no 408.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -39,6 +40,7 @@
     private var headStartedMillis: Long? = null
     private val acceptedMillis = MonotonicClock.nowMillis()
     private var hasReceivedBytes = false
+    private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
         val head: RequestHead,
@@ -54,8 +56,12 @@
         fun toRequest(): CallerRequest = CallerRequest(head, body.toByteArray(), arrivedMillis)
     }
 
-    /** Whether no request is being received or handled. */
-    val isIdle: Boolean get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null
+    /** Whether no request is being received or handled, and the socket has taken all responses. */
+    val isIdle: Boolean
+        get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null && !hasUnsentBytes
+
+    /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
+    private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
     /** Whether nothing was received yet on a connection so new that its first request is probably on its way. */
     val isAwaitingFirstRequest: Boolean
@@ -221,27 +227,39 @@
         }
     }
 
-    /** Shuts down output first, so that the caller can read the whole response before the connection is closed. */
+    /** Closes the connection once the socket has taken all responses. */
     private fun closeGracefully() {
         isClosing = true
+        val write = lastWrite
+        // Netty drops what it has not sent when output is shut down.
+        if (write == null || write.isDone) endOutput() else write.addListener { endOutput() }
+    }
+
+    /** Shuts down output first, so that the caller can read the whole response before the connection is closed. */
+    private fun endOutput() {
         val channel = context.channel() as SocketChannel
         channel.shutdownOutput()
         context.executor().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private fun write(bytes: ByteBuf) {
-        context.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        lastWrite = context.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
     }
 
-    /** Closes the connection if it has been idle, or a request head has been incomplete, for too long. */
+    /**
+     * Closes the connection if it has been idle, or a request head has been incomplete, for too long. Resets it if the
+     * caller has not taken a response in time, so that the response does not look complete.
+     */
     private fun checkTimeouts() {
         if (!context.channel().isActive) return
         val nowMillis = MonotonicClock.nowMillis()
         val headMillis = headStartedMillis?.let { nowMillis - it } ?: 0
+        val isOverdue = current == null && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis
         when {
-            headMillis > server.limits.headerTimeoutMillis ->
+            !isClosing && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
-            isIdle && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis -> closeGracefully()
+            isOverdue && hasUnsentBytes -> reset()
+            isOverdue && isIdle -> closeGracefully()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -2,12 +2,21 @@
 
 import java.io.Closeable
 import java.io.InputStream
+import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketException
 
-/** A caller that sends arbitrary bytes over one connection. */
-internal class RawCaller(port: Int) : Closeable {
-    private val socket = Socket("127.0.0.1", port).apply { soTimeout = 5_000 }
+/**
+ * A caller that sends arbitrary bytes over one connection.
+ *
+ * @param receiveBufferBytes how much the operating system keeps for the caller, or null for its default
+ */
+internal class RawCaller(port: Int, receiveBufferBytes: Int? = null) : Closeable {
+    private val socket = Socket().apply {
+        if (receiveBufferBytes != null) receiveBufferSize = receiveBufferBytes
+        connect(InetSocketAddress("127.0.0.1", port))
+        soTimeout = 5_000
+    }
     private val input: InputStream = socket.getInputStream()
 
     /** Whether the peer has reset the connection while a response was being read. */
