Send each caller's request of the OpenAI entry over a connection of its own

What callers could get: the answer to the request before theirs on the same connection, if a service or an engine answers twice, the second time late, and its answer bears no id. An answer with the id of another request that said "not run" was believed, so a request that may have run could be sent again.

Cause: repeatable requests shared kept connections. Services need not put an id into their answers, and engines put none into a rejection. X-Not-Run was looked at before the id, and the id of an engine's failure wasn't looked at.

Change: no request of a caller reuses a connection, as was the rule for those that may not be repeated; polls keep theirs. The id is compared first, on failures too.

--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
@@ -56,8 +56,7 @@
     ): Outcome<EngineAnswer, AttemptFailure> {
         val body = answerRequestBody(attempt, kvHandle)
         return execute(engine, attempt, attempt.path, body) { call, response ->
-            val answeredId = response.header("X-Request-Id")
-            if (answeredId != null && answeredId != attempt.id.text) onDropped("crossed")
+            if (isForOther(response, attempt.id)) onDropped("crossed")
             Outcome.Success(EngineAnswer(call, response, attempt.id, attempt.deliveredTokens, onDropped))
         }
     }
@@ -85,16 +84,22 @@
                 .tag(TransmissionListener::class.java, transmission)
                 .post(Json.encodeToString(JsonObject.serializer(), body).toRequestBody(JSON_MEDIA_TYPE))
                 .build()
-        val call = clients.forCall(isRepeatable = true).newCall(request)
+        val call = clients.forCall().newCall(request)
         call.timeout().timeout(maxOf(1, attempt.timeoutMillis), TimeUnit.MILLISECONDS)
         return try {
-            readResponse(call, call.execute(), readSuccess)
+            readResponse(attempt.id, call, call.execute(), readSuccess)
         } catch (failure: IOException) {
             Outcome.Failure(toAttemptFailure(engine, transmission, failure))
         }
     }
 
+    private fun isForOther(response: Response, id: RequestId): Boolean {
+        val answeredId = response.header("X-Request-Id")
+        return answeredId != null && answeredId != id.text
+    }
+
     private fun <T> readResponse(
+        id: RequestId,
         call: Call,
         response: Response,
         readSuccess: (Call, Response) -> Outcome<T, AttemptFailure>,
@@ -103,6 +108,7 @@
         return response.use {
             val body = it.boundedText()
             val failure = when {
+                isForOther(it, id) -> AttemptFailure.Broken("the answer is for another request", isCrash = false)
                 it.header("X-Not-Run") == "true" -> AttemptFailure.NotRun(body.trim(), isUpstreamFault = false)
                 it.code >= MIN_SERVER_ERROR_STATUS -> AttemptFailure.Broken("status ${it.code}", isCrash = false)
                 else -> AttemptFailure.Rejected(it.code, body)
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/ServiceClient.kt
@@ -48,18 +48,18 @@
                 .tag(TransmissionListener::class.java, transmission)
                 .method(call.method, bodyOf(call))
                 .build()
-        val httpCall = clients.forCall(call.isRepeatable).newCall(request)
+        val httpCall = clients.forCall().newCall(request)
         httpCall.timeout().timeout(maxOf(1, call.timeoutMillis), TimeUnit.MILLISECONDS)
         return try {
             httpCall.execute().use { response ->
-                if (response.header("X-Not-Run") == "true") {
-                    val reason = "the service declared that it had not run the request"
-                    return Outcome.Failure(AttemptFailure.NotRun(reason, isUpstreamFault = false))
-                }
                 val answeredId = response.header("X-Request-Id")
                 if (answeredId != null && answeredId != call.id.text) {
                     return Outcome.Failure(AttemptFailure.Broken("the answer is for $answeredId", isCrash = false))
                 }
+                if (response.header("X-Not-Run") == "true") {
+                    val reason = "the service declared that it had not run the request"
+                    return Outcome.Failure(AttemptFailure.NotRun(reason, isUpstreamFault = false))
+                }
                 val answer = ServiceAnswer(response.code, response.headers, response.boundedBytes())
                 if (transmission.hasFailed && !isFramed(response)) {
                     return Outcome.Failure(toAttemptFailure(service, transmission, IOException(LOST_CONNECTION)))
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/UpstreamClients.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/UpstreamClients.kt
@@ -10,18 +10,20 @@
 /**
  * The HTTP clients for upstreams.
  *
- * None of them retries a call by itself. Calls that may not be repeated never reuse a connection: if the upstream has
- * closed it meanwhile, the failure can't be told from one after the upstream ran the call.
+ * None of them retries a call by itself. Callers' requests never reuse a connection: if the upstream has closed it
+ * meanwhile, the failure can't be told from one after the upstream ran the call; and a second answer to an earlier call
+ * that comes late would be read as the answer to the next one.
  */
 internal class UpstreamClients : AutoCloseable {
-    private val pooled: OkHttpClient =
+    private val polling: OkHttpClient =
         OkHttpClient
             .Builder()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
             .writeTimeout(WRITE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-            .readTimeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .readTimeout(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .callTimeout(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
             .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_MINUTES, TimeUnit.MINUTES))
             .dispatcher(
                 Dispatcher().apply {
@@ -29,27 +31,26 @@
                     maxRequestsPerHost = MAX_POLLS_PER_HOST
                 },
             )
-            .eventListenerFactory { call -> call.request().tag(TransmissionListener::class.java) ?: EventListener.NONE }
             .build()
     private val unpooled: OkHttpClient =
-        pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS)).build()
-    private val polling: OkHttpClient =
-        pooled
+        polling
             .newBuilder()
-            .readTimeout(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-            .callTimeout(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .readTimeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .callTimeout(0, TimeUnit.MILLISECONDS)
+            .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+            .eventListenerFactory { call -> call.request().tag(TransmissionListener::class.java) ?: EventListener.NONE }
             .build()
 
     /** Returns the client for callers' requests. */
-    fun forCall(isRepeatable: Boolean): OkHttpClient = if (isRepeatable) pooled else unpooled
+    fun forCall(): OkHttpClient = unpooled
 
     /** Returns the client for short calls that poll the state of upstreams or of the platform. */
     fun forPolling(): OkHttpClient = polling
 
     override fun close() {
-        pooled.dispatcher.cancelAll()
-        pooled.dispatcher.executorService.shutdownNow()
-        pooled.connectionPool.evictAll()
+        polling.dispatcher.cancelAll()
+        polling.dispatcher.executorService.shutdownNow()
+        polling.connectionPool.evictAll()
     }
 
     companion object {
