--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -258,12 +258,20 @@
         when {
             !isClosing && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
-            isOverdue && hasUnsentBytes -> reset()
+            isOverdue && hasUnsentBytes -> resetSlowCaller()
             isOverdue && isIdle -> closeGracefully()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    private fun resetSlowCaller() {
+        log.info("response_not_taken") {
+            field("caller", context.channel().remoteAddress())
+            field("waited_ms", MonotonicClock.nowMillis() - idleSinceMillis)
+        }
+        reset()
+    }
+
     private inner class Exchange(private val received: IncomingRequest) : CallerExchange {
         override val request: CallerRequest = received.toRequest()
         override var onCallerGone: () -> Unit = {}
