--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -1,6 +1,7 @@
 package marigoldward.gateway.caller
 
 import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -37,6 +38,7 @@
     private var headStartedMillis: Long? = null
     private val acceptedMillis = MonotonicClock.nowMillis()
     private var hasReceivedBytes = false
+    private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
         val head: RequestHead,
@@ -45,11 +47,18 @@
         val arrivedMillis: Long,
         val body: ReceivedBody,
     ) {
+        /** Whether the caller sends the body only after an interim response, which it has not got yet. */
+        var awaitsContinue = !isBeforeHttp11 && head.headers.hasToken("Expect", "100-continue")
+
         fun toRequest(): CallerRequest = CallerRequest(head, body.take(), arrivedMillis, body.isDropped)
     }
 
-    /** Whether no request is being received or handled. */
-    val isIdle: Boolean get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null
+    /** Whether no request is being received or handled, and the socket has taken all responses. */
+    val isIdle: Boolean
+        get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null && !hasUnsentBytes
+
+    /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
+    private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
     /** Whether nothing was received yet on a connection so new that its first request is probably on its way. */
     val isAwaitingFirstRequest: Boolean
@@ -139,12 +148,23 @@
         }
         val body = ReceivedBody(server.memory)
         incoming = IncomingRequest(head, keepsConnection, isBeforeHttp11, MonotonicClock.nowMillis(), body)
-        if (headers.hasToken("Expect", "100-continue")) write(Http1Encoder.continueResponse(context.alloc()))
+        askForBody()
+    }
+
+    /** Asks for the body that the caller holds back, unless the response to an earlier request is due first. */
+    private fun askForBody() {
+        val request = incoming ?: return
+        if (!request.awaitsContinue || current != null) return
+        request.awaitsContinue = false
+        write(Http1Encoder.continueResponse(context.alloc()))
     }
 
     private fun onRequestContent(content: HttpContent) {
         val request = incoming ?: return
-        if (content.content().isReadable) request.body.add(content.content())
+        if (content.content().isReadable) {
+            request.awaitsContinue = false
+            request.body.add(content.content())
+        }
         if (request.body.receivedBytes > server.limits.maxBodyBytes) {
             rejectRequest(BODY_TOO_LARGE, "the body is larger than ${server.limits.maxBodyBytes} bytes")
             return
@@ -225,34 +245,55 @@
         when {
             !keepsConnection || isClosing -> closeGracefully()
             next != null -> startExchange(next)
+            else -> askForBody()
         }
     }
 
-    /** Shuts down output first, so that the caller can read the whole response before the connection is closed. */
+    /** Closes the connection once the socket has taken all responses. */
     private fun closeGracefully() {
         isClosing = true
+        val write = lastWrite
+        // Netty drops what it has not sent when output is shut down.
+        if (write == null || write.isDone) endOutput() else write.addListener { endOutput() }
+    }
+
+    /** Shuts down output first, so that the caller can read the whole response before the connection is closed. */
+    private fun endOutput() {
         val channel = context.channel() as SocketChannel
         channel.shutdownOutput()
         context.executor().schedule({ channel.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private fun write(bytes: ByteBuf) {
-        context.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        lastWrite = context.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
     }
 
-    /** Closes the connection if it has been idle, or a request head has been incomplete, for too long. */
+    /**
+     * Closes the connection if it has been idle, or a request head has been incomplete, for too long. Resets it if the
+     * caller has not taken a response in time, so that the response does not look complete.
+     */
     private fun checkTimeouts() {
         if (!context.channel().isActive) return
         val nowMillis = MonotonicClock.nowMillis()
         val headMillis = headStartedMillis?.let { nowMillis - it } ?: 0
+        val isOverdue = current == null && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis
         when {
-            headMillis > server.limits.headerTimeoutMillis ->
+            !isClosing && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
-            isIdle && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis -> closeGracefully()
+            isOverdue && hasUnsentBytes -> resetSlowCaller()
+            isOverdue && isIdle -> closeGracefully()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    private fun resetSlowCaller() {
+        log.info("response_not_taken") {
+            field("caller", context.channel().remoteAddress())
+            field("waited_ms", MonotonicClock.nowMillis() - idleSinceMillis)
+        }
+        reset()
+    }
+
     private inner class Exchange(private val received: IncomingRequest) : CallerExchange {
         override val request: CallerRequest = received.toRequest()
         override var onCallerGone: () -> Unit = {}
--- a/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/RawCaller.kt
@@ -2,12 +2,21 @@
 
 import java.io.Closeable
 import java.io.InputStream
+import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketException
 
-/** A caller that sends arbitrary bytes over one connection. */
-internal class RawCaller(port: Int) : Closeable {
-    private val socket = Socket("127.0.0.1", port).apply { soTimeout = 5_000 }
+/**
+ * A caller that sends arbitrary bytes over one connection.
+ *
+ * @param receiveBufferBytes how much the operating system keeps for the caller, or null for its default
+ */
+internal class RawCaller(port: Int, receiveBufferBytes: Int? = null) : Closeable {
+    private val socket = Socket().apply {
+        if (receiveBufferBytes != null) receiveBufferSize = receiveBufferBytes
+        connect(InetSocketAddress("127.0.0.1", port))
+        soTimeout = 5_000
+    }
     private val input: InputStream = socket.getInputStream()
 
     /** Whether the peer has reset the connection while a response was being read. */
@@ -27,6 +36,7 @@
         val head = readUntil("\r\n\r\n") ?: return null
         val status = head.substring(9, 12).toInt()
         if (isHead) return Response(status, head, "", true)
+        if (status in INTERIM_STATUSES) return Response(status, head, "", true)
         val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt()
         if (length != null) {
             val body = String(input.readNBytes(length), Charsets.ISO_8859_1)
@@ -65,4 +75,9 @@
         }
         return text.toString()
     }
+
+    private companion object {
+        /** Statuses of responses that consist of a head only and come before the final response. */
+        val INTERIM_STATUSES = 100..199
+    }
 }
