Count and log what upstreams send that answers no call

When an upstream answers a request twice, the second answer was skipped or its connection closed without a line, so neither the logs nor the metrics could tell an answer that was taken for another call's from a fault elsewhere. Now marigoldward_upstream_answers_dropped_total{reason} and event=answer_dropped say so, with the id that was expected and the one that came. No decision changes.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -31,6 +31,13 @@
             .help("Attempts at upstreams, by how they ended")
             .labelNames("end")
             .register()
+    private val answersDropped: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_upstream_answers_dropped_total")
+            .help("Answers of upstreams that belong to no call on their connection, by why")
+            .labelNames("reason")
+            .register()
     private val firstPartSeconds: Histogram =
         histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
     private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
@@ -46,6 +53,8 @@
 
     fun recordAttemptEnd(label: String) = attempts.labelValues(label).inc()
 
+    fun recordAnswerDropped(reason: String) = answersDropped.labelValues(reason).inc()
+
     fun recordRequestEnd(route: Route, outcome: String, timing: ResponseTiming, totalMillis: Long) {
         val priority = route.priority.toString()
         requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
@@ -22,6 +23,7 @@
  * A response to another request is skipped. Bytes that arrive while there is no call close the connection.
  */
 internal class UpstreamConnection(
+    private val upstream: UpstreamId,
     private val channel: UpstreamChannel,
     private val decoder: ResponseDecoder,
     private val dialect: Dialect,
@@ -102,6 +104,7 @@
     private fun handle(message: HttpObject) {
         val current = call
         if (current == null) {
+            if (message is HttpResponse) DroppedAnswers.record(DroppedAnswers.Reason.UNASKED, upstream, null, null)
             channel.close()
             return
         }
@@ -117,9 +120,14 @@
     private fun onResponseHead(current: UpstreamCall, response: HttpResponse) {
         val head = ResponseHead(response.status().code(), Headers(response.headers().map { Header(it.key, it.value) }))
         val requestId = dialect.readResponse(head).requestId
-        isSkippingResponse = head.status in INFORMATIONAL_STATUSES || isForOtherRequest(requestId, current)
+        val isForOther = isForOtherRequest(requestId, current)
+        isSkippingResponse = head.status in INFORMATIONAL_STATUSES || isForOther
         if (isSkippingResponse) {
             skippedResponses++
+            if (isForOther) {
+                val reason = DroppedAnswers.Reason.OTHER_REQUEST
+                DroppedAnswers.record(reason, upstream, current.expectedRequestId, requestId)
+            }
             checkSkipped()
             return
         }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -109,6 +109,7 @@
         override fun initChannel(channel: UpstreamChannel) {
             val connection =
                 UpstreamConnection(
+                    upstream = id,
                     channel = channel,
                     decoder = decoder,
                     dialect = dialect,
