Reuse a connection to an upstream only after the read that ended its answer

What a caller saw: the second answer to another request, if it had come in the same write as the first and a call was sent at the moment the first ended. The connection went back to the pool at the last byte of an answer, before the rest of the same read was decoded, so bytes that were received before a request was written were taken for its answer, even with no id or the expected one.

Now a call ends at the end of the read that completed its answer. The connection is kept only if nothing else came and no half of a message is left in the decoder; otherwise it is closed, and the answer still counts.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -20,7 +20,9 @@
 /**
  * One connection to an upstream, which carries one call at a time. Confined to the event loop thread.
  *
- * A response to another request is skipped. Bytes that arrive while there is no call close the connection.
+ * A response to another request is skipped. Bytes that arrive while there is no call close the connection. A call ends
+ * at the end of the read that completed its response, so that the connection is not reused before all that was received
+ * is decoded.
  */
 internal class UpstreamConnection(
     private val upstream: UpstreamId,
@@ -35,6 +37,7 @@
     private var isReusable = true
     private var isSkippingResponse = false
     private var hasResponseHead = false
+    private var isResponseComplete = false
     private var skippedResponses = 0
     private var skippedBytes = 0L
 
@@ -60,6 +63,7 @@
         isRequestWritten = false
         isSkippingResponse = false
         hasResponseHead = false
+        isResponseComplete = false
         skippedResponses = 0
         skippedBytes = 0
         isReusable = true
@@ -90,22 +94,34 @@
         }
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (isResponseComplete) {
+            finish()
+        } else if (call == null && !decoder.isBetweenResponses) {
+            channel.close()
+        }
+        context.fireChannelReadComplete()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
+        if (isResponseComplete) finish()
         fail(UpstreamFailure.ConnectionLost("the connection closed"))
         onClosed(this)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         val reason = cause.message ?: cause.javaClass.simpleName
+        if (isResponseComplete) finish()
         fail(if (cause is IOException) UpstreamFailure.ConnectionLost(reason) else UpstreamFailure.Broken(reason))
         channel.close()
     }
 
     private fun handle(message: HttpObject) {
         val current = call
-        if (current == null) {
+        if (current == null || isResponseComplete) {
             if (message is HttpResponse) DroppedAnswers.record(DroppedAnswers.Reason.UNASKED, upstream, null, null)
-            channel.close()
+            isReusable = false
+            if (current == null) channel.close()
             return
         }
         if (message.decoderResult().isFailure) {
@@ -155,7 +171,7 @@
             if (endsByLostConnection) {
                 fail(UpstreamFailure.ConnectionLost("the connection was reset within the answer"))
             } else {
-                finish(current)
+                isResponseComplete = true
             }
         }
     }
@@ -167,12 +183,15 @@
         }
     }
 
-    private fun finish(current: UpstreamCall) {
+    private fun finish() {
+        val ended = call ?: return
         call = null
+        isResponseComplete = false
         // An idle connection has to notice that the upstream closes it.
         channel.config().isAutoRead = true
-        if (isReusable && isRequestWritten && channel.isActive) onIdle(this) else channel.close()
-        current.listener.onEnd()
+        val isClean = isReusable && isRequestWritten && decoder.isBetweenResponses
+        if (isClean && channel.isActive) onIdle(this) else channel.close()
+        ended.listener.onEnd()
     }
 
     private fun fail(failure: UpstreamFailure) {
