Attribute an upstream's answer by the requests its connection has carried

What callers saw, with an upstream that answers twice, the second time late: the answer of another request as their own success (MIXED); 503 as "not run" for a request that had run (REFUSED); a stream made from the KV cache of another request; 504 after the whole time limit.

Cause: one comparison of the answer's id with the current call's decided, and everything without an id passed. * A late answer without an id was taken for the call's own; the release of a KV cache has no id, so a late answer to the call before became its answer, and its own answer the next prefill's. * Two requests with one id on one connection: the late answer to the first bears the expected id. * A skipped answer was decoded with the method of the current call, so the body of a late answer met by HEAD was read as answers. * A skipped answer without a length swallowed everything until the time limit.

Now a connection remembers the requests it carried (SentRequests). An answer without an id is the call's own only if nothing can be late: on a connection's first call. A connection whose last answer bore no id, or whose last request had none, is closed. An upstream whose last answer bore none gets new connections until one bears it, so one whose answers bear the id keeps its connections, and no call fails at one whose answers never do. The pool never repeats an id on a connection. A skipped answer is decoded with its own method, and one that can't be delimited ends the call at once as "may have run". marigoldward_upstream_answers_dropped_total counts each.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/DroppedAnswers.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/DroppedAnswers.kt
@@ -13,6 +13,12 @@
         /** It answers a request that the connection carried before, or one that it never carried. */
         OTHER_REQUEST,
 
+        /** It answers another request, and nothing shows where it ends. */
+        NOT_DELIMITED,
+
+        /** It bears no request id, and the connection has carried several requests. */
+        NO_REQUEST_ID,
+
         /** It arrived while the connection carried no call, or behind the complete answer to one. */
         UNASKED,
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -10,8 +10,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import marigoldward.core.model.UpstreamId
-import marigoldward.gateway.Dialect
-import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.Http1Encoder
 import marigoldward.gateway.message.ResponseHead
@@ -20,24 +18,35 @@
 /**
  * One connection to an upstream, which carries one call at a time. Confined to the event loop thread.
  *
- * A response to another request is skipped. Bytes that arrive while there is no call close the connection. A call ends
- * at the end of the read that completed its response, so that the connection is not reused before all that was received
- * is decoded.
+ * A response to another request is skipped. One that can't be attributed to a request, or whose end can't be found, ends
+ * the call and closes the connection, as do bytes that arrive while there is no call. A call ends at the end of the read
+ * that completed its response, so that the connection is not reused before all that was received is decoded.
  */
 internal class UpstreamConnection(
     private val upstream: UpstreamId,
     private val channel: UpstreamChannel,
+    private val sent: SentRequests,
     private val decoder: ResponseDecoder,
-    private val dialect: Dialect,
-    private val onIdle: (UpstreamConnection) -> Unit,
-    private val onClosed: (UpstreamConnection) -> Unit,
+    private val owner: Owner,
 ) : ChannelInboundHandlerAdapter() {
+    /** Keeps the connection while it is idle. */
+    interface Owner {
+        /** The connection can carry another call. */
+        fun onIdle(connection: UpstreamConnection)
+
+        fun onClosed(connection: UpstreamConnection)
+
+        /** A response arrived that bears a request id or, if not [bearsRequestId], should bear one. */
+        fun onResponse(bearsRequestId: Boolean)
+    }
+
     private var call: UpstreamCall? = null
     private var isRequestWritten = false
     private var isReusable = true
     private var isSkippingResponse = false
     private var hasResponseHead = false
     private var isResponseComplete = false
+    private var hasUnaskedBytes = false
     private var skippedResponses = 0
     private var skippedBytes = 0L
 
@@ -56,6 +65,14 @@
      */
     private val endsByLostConnection: Boolean get() = !channel.isActive && !channel.hasReachedEnd
 
+    /**
+     * Whether the response to [next] will be recognized among late ones to earlier requests.
+     *
+     * @param isIdCertain whether responses of the upstream are known to bear request ids
+     */
+    fun canAttribute(next: UpstreamCall, isIdCertain: Boolean): Boolean =
+        sent.isEmpty || !sent.hasIdOf(next) && (isIdCertain || next.expectedRequestId == null)
+
     /** Sends the request of [next]. */
     fun send(next: UpstreamCall) {
         check(call == null) { "the connection to ${next.upstream.id} already carries a call" }
@@ -68,7 +85,7 @@
         skippedBytes = 0
         isReusable = true
         next.attachTo(this)
-        decoder.isHeadRequest = next.head.method == "HEAD"
+        sent.add(next)
         val bytes = Http1Encoder.request(channel.alloc(), next.head, next.body)
         channel.writeAndFlush(bytes).addListener { written ->
             if (written.isSuccess && call === next) isRequestWritten = true
@@ -98,7 +115,7 @@
         if (isResponseComplete) {
             finish()
         } else if (call == null && !decoder.isBetweenResponses) {
-            channel.close()
+            onUnasked()
         }
         context.fireChannelReadComplete()
     }
@@ -106,7 +123,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         if (isResponseComplete) finish()
         fail(UpstreamFailure.ConnectionLost("the connection closed"))
-        onClosed(this)
+        owner.onClosed(this)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -119,9 +136,7 @@
     private fun handle(message: HttpObject) {
         val current = call
         if (current == null || isResponseComplete) {
-            if (message is HttpResponse) DroppedAnswers.record(DroppedAnswers.Reason.UNASKED, upstream, null, null)
-            isReusable = false
-            if (current == null) channel.close()
+            onUnasked()
             return
         }
         if (message.decoderResult().isFailure) {
@@ -133,29 +148,57 @@
         if (message is HttpContent && call === current) onContent(current, message)
     }
 
+    /** Handles bytes that belong to no call; what they are doesn't matter, and the connection ends with them. */
+    private fun onUnasked() {
+        if (!hasUnaskedBytes) recordDropped(DroppedAnswers.Reason.UNASKED, null)
+        hasUnaskedBytes = true
+        if (call == null) channel.close()
+    }
+
     private fun onResponseHead(current: UpstreamCall, response: HttpResponse) {
-        val head = ResponseHead(response.status().code(), Headers(response.headers().map { Header(it.key, it.value) }))
-        val requestId = dialect.readResponse(head).requestId
-        val isForOther = isForOtherRequest(requestId, current)
-        isSkippingResponse = head.status in INFORMATIONAL_STATUSES || isForOther
-        if (isSkippingResponse) {
-            skippedResponses++
-            if (isForOther) {
-                val reason = DroppedAnswers.Reason.OTHER_REQUEST
-                DroppedAnswers.record(reason, upstream, current.expectedRequestId, requestId)
+        val head = ResponseDecoder.headOf(response)
+        if (head.status in INFORMATIONAL_STATUSES) return skipResponse()
+        when (val answered = sent.requestAnsweredBy(head)) {
+            AnsweredRequest.Current -> onOwnResponse(current, head)
+            is AnsweredRequest.Other -> if (ResponseDecoder.isDelimited(response, answered.isHeadRequest)) {
+                recordDropped(DroppedAnswers.Reason.OTHER_REQUEST, answered.requestId)
+                skipResponse()
+            } else {
+                reject(DroppedAnswers.Reason.NOT_DELIMITED, answered.requestId)
+            }
+            AnsweredRequest.Unknown -> {
+                owner.onResponse(bearsRequestId = false)
+                reject(DroppedAnswers.Reason.NO_REQUEST_ID, null)
             }
-            checkSkipped()
-            return
         }
+    }
+
+    private fun onOwnResponse(current: UpstreamCall, head: ResponseHead) {
         hasResponseHead = true
         keepAliveMillis = keepAliveMillisOrNull(head.headers) ?: keepAliveMillis
         val isFramed = head.headers.has("Content-Length") || head.headers.has("Transfer-Encoding")
-        isReusable = isFramed && !head.headers.hasToken("Connection", "close")
+        val isIdentified = sent.isIdentified(head)
+        if (current.expectedRequestId != null) owner.onResponse(isIdentified)
+        // A late second response to this call could not be told from one to the next.
+        isReusable = isFramed && isIdentified && !head.headers.hasToken("Connection", "close")
         current.listener.onHead(head)
     }
 
-    private fun isForOtherRequest(requestId: String?, current: UpstreamCall): Boolean =
-        requestId != null && current.expectedRequestId != null && requestId != current.expectedRequestId
+    private fun skipResponse() {
+        isSkippingResponse = true
+        skippedResponses++
+        checkSkipped()
+    }
+
+    /** Ends the call because what comes next on the connection can't be trusted. */
+    private fun reject(reason: DroppedAnswers.Reason, requestId: String?) {
+        recordDropped(reason, requestId)
+        fail(UpstreamFailure.Broken("answer dropped: ${reason.name.lowercase()}"))
+        channel.close()
+    }
+
+    private fun recordDropped(reason: DroppedAnswers.Reason, requestId: String?) =
+        DroppedAnswers.record(reason, upstream, call?.expectedRequestId, requestId)
 
     private fun onContent(current: UpstreamCall, content: HttpContent) {
         if (isSkippingResponse) {
@@ -189,8 +232,8 @@
         isResponseComplete = false
         // An idle connection has to notice that the upstream closes it.
         channel.config().isAutoRead = true
-        val isClean = isReusable && isRequestWritten && decoder.isBetweenResponses
-        if (isClean && channel.isActive) onIdle(this) else channel.close()
+        val isClean = isReusable && isRequestWritten && !hasUnaskedBytes && decoder.isBetweenResponses
+        if (isClean && channel.isActive) owner.onIdle(this) else channel.close()
         ended.listener.onEnd()
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -15,6 +15,9 @@
 /** A pool of connections to all upstreams. Confined to the event loop thread. */
 internal class UpstreamPool(private val loop: EventLoop, private val dialect: Dialect) {
     private val idle = HashMap<UpstreamId, ArrayDeque<UpstreamConnection>>()
+
+    /** The upstreams whose last response to a request with an id bore none. */
+    private val upstreamsWithoutIds = HashSet<UpstreamId>()
     private val bootstrap =
         Bootstrap()
             .group(loop)
@@ -32,7 +35,7 @@
     fun probe(upstream: ListedUpstream, onResult: (Boolean) -> Unit) {
         val address = parseAddressOrNull(upstream.address) ?: return onResult(false)
         GatewayMetrics.connectionsOpened.inc()
-        val connectFuture = bootstrap.clone().handler(Initializer(upstream.id, ResponseDecoder())).connect(address)
+        val connectFuture = bootstrap.clone().handler(Initializer(upstream.id)).connect(address)
         connectFuture.addListener {
             if (connectFuture.isSuccess) {
                 addIdle(upstream.id, connectFuture.channel().pipeline().get(UpstreamConnection::class.java))
@@ -44,6 +47,7 @@
     /** Closes the idle connections that upstreams are about to close, and those to upstreams that are not listed. */
     fun closeExpired(isListed: (UpstreamId) -> Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
+        upstreamsWithoutIds.removeIf { !isListed(it) }
         idle.entries.removeIf { (id, connections) ->
             val expired = connections.filter { !isListed(id) || !isUsable(it, nowMillis, MAX_IDLE_MILLIS) }
             expired.forEach { connection ->
@@ -63,10 +67,17 @@
         val connections = idle[call.upstream.id] ?: return null
         val nowMillis = MonotonicClock.nowMillis()
         val maxIdleMillis = if (call.needsFreshConnection) MAX_FRESH_IDLE_MILLIS else MAX_IDLE_MILLIS
-        while (connections.isNotEmpty()) {
-            val newest = connections.removeLast()
-            if (isUsable(newest, nowMillis, maxIdleMillis)) return newest
-            newest.close()
+        val isIdCertain = call.upstream.id !in upstreamsWithoutIds
+        val newestFirst = connections.listIterator(connections.size)
+        while (newestFirst.hasPrevious()) {
+            val candidate = newestFirst.previous()
+            if (!isUsable(candidate, nowMillis, maxIdleMillis)) {
+                newestFirst.remove()
+                candidate.close()
+            } else if (candidate.canAttribute(call, isIdCertain)) {
+                newestFirst.remove()
+                return candidate
+            }
         }
         return null
     }
@@ -83,8 +94,7 @@
             return
         }
         GatewayMetrics.connectionsOpened.inc()
-        val decoder = ResponseDecoder()
-        val connectFuture = bootstrap.clone().handler(Initializer(call.upstream.id, decoder)).connect(address)
+        val connectFuture = bootstrap.clone().handler(Initializer(call.upstream.id)).connect(address)
         connectFuture.addListener {
             when {
                 !connectFuture.isSuccess -> reportUnreachable(call, connectFuture.cause())
@@ -104,19 +114,23 @@
         idle.getOrPut(id) { ArrayDeque() }.addLast(connection)
     }
 
-    private inner class Initializer(private val id: UpstreamId, private val decoder: ResponseDecoder) :
-        ChannelInitializer<UpstreamChannel>() {
+    private inner class Initializer(private val id: UpstreamId) :
+        ChannelInitializer<UpstreamChannel>(),
+        UpstreamConnection.Owner {
         override fun initChannel(channel: UpstreamChannel) {
-            val connection =
-                UpstreamConnection(
-                    upstream = id,
-                    channel = channel,
-                    decoder = decoder,
-                    dialect = dialect,
-                    onIdle = { addIdle(id, it) },
-                    onClosed = { idle[id]?.remove(it) },
-                )
-            channel.pipeline().addLast(decoder, connection)
+            val sent = SentRequests(dialect)
+            val decoder = ResponseDecoder(sent)
+            channel.pipeline().addLast(decoder, UpstreamConnection(id, channel, sent, decoder, owner = this))
+        }
+
+        override fun onIdle(connection: UpstreamConnection) = addIdle(id, connection)
+
+        override fun onClosed(connection: UpstreamConnection) {
+            idle[id]?.remove(connection)
+        }
+
+        override fun onResponse(bearsRequestId: Boolean) {
+            if (bearsRequestId) upstreamsWithoutIds.remove(id) else upstreamsWithoutIds.add(id)
         }
     }
 
