Merge the work on answers of upstreams

Conflicts: a connection's reuse takes both limits, how long it was idle and what it has carried; the stand-ins of the deployment's test.

--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/LateAnswerTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/LateAnswerTest.kt
@@ -32,7 +32,8 @@
                 it("$name leaves the next request of the connection alone") {
                     val group = NioEventLoopGroup(1)
                     val exchanges = CopyOnWriteArrayList<CallerExchange>()
-                    val server = CallerServer(group.next(), { CallerLimits.DEFAULT }, RequestMemory.ofHeap(), exchanges::add)
+                    val server =
+                        CallerServer(group.next(), { CallerLimits.DEFAULT }, RequestMemory.ofHeap(), exchanges::add)
                     server.start(InetSocketAddress("127.0.0.1", 0))
                     RawCaller(server.port).use { caller ->
                         caller.send(request("/first") + request("/second"))
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/LongPromptAdmissionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/LongPromptAdmissionTest.kt
@@ -48,7 +48,8 @@
 )
 
 private class UnusedExchange : CallerExchange {
-    override val request = CallerRequest(RequestHead("POST", "/", Headers.EMPTY), ByteArray(0), 0, isBodyDropped = false)
+    override val request =
+        CallerRequest(RequestHead("POST", "/", Headers.EMPTY), ByteArray(0), 0, isBodyDropped = false)
     override var onCallerGone: () -> Unit = {}
     override val isWritable: Boolean = true
     override var onWritable: () -> Unit = {}
--- a/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamCallTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamCallTest.kt
@@ -64,6 +64,14 @@
     return UpstreamCall(listed(upstream), head, ByteArray(0), id, UpstreamCall.ConnectionReuse.ANY, listener)
 }
 
+private object IgnoringOwner : UpstreamConnection.Owner {
+    override fun onIdle(connection: UpstreamConnection) = Unit
+
+    override fun onClosed(connection: UpstreamConnection) = Unit
+
+    override fun onResponse(bearsRequestId: Boolean) = Unit
+}
+
 private class TestLoop : Closeable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -75,8 +83,10 @@
     fun connect(upstream: FakeUpstream): UpstreamConnection {
         val initializer = object : ChannelInitializer<UpstreamChannel>() {
             override fun initChannel(channel: UpstreamChannel) {
-                val decoder = ResponseDecoder()
-                channel.pipeline().addLast(decoder, UpstreamConnection(channel, decoder, TestDialect, {}, {}))
+                val sent = SentRequests(TestDialect)
+                val decoder = ResponseDecoder(sent)
+                val id = UpstreamId.parse("u")
+                channel.pipeline().addLast(decoder, UpstreamConnection(id, channel, sent, decoder, IgnoringOwner))
             }
         }
         val bootstrap = Bootstrap().group(loop).channelFactory(ChannelFactory { UpstreamChannel() })
