--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -150,7 +150,8 @@
 
     /** Handles bytes that belong to no call; what they are doesn't matter, and the connection ends with them. */
     private fun onUnasked() {
-        if (!hasUnaskedBytes) recordDropped(DroppedAnswers.Reason.UNASKED, null)
+        // What is left of a read after the call was cancelled or has failed is not worth a line.
+        if (!hasUnaskedBytes && channel.isActive) recordDropped(DroppedAnswers.Reason.UNASKED, null)
         hasUnaskedBytes = true
         if (call == null) channel.close()
     }
