Free the memory of requests behind the last one of a connection

What callers would have seen: after a few requests with bodies behind one with Connection: close, 503 for every request with a body until the entry is restarted.

Cause: the next request was taken out of the queue before the check whether the connection ends, and was then neither queued nor current, so nothing released it.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -241,12 +241,9 @@
         if (current !== exchange) return
         endCurrent()
         idleSinceMillis = MonotonicClock.nowMillis()
+        if (!keepsConnection || isClosing) return closeGracefully()
         val next = dequeueOrNull()
-        when {
-            !keepsConnection || isClosing -> closeGracefully()
-            next != null -> startExchange(next)
-            else -> askForBody()
-        }
+        if (next != null) startExchange(next) else askForBody()
     }
 
     /** Closes the connection once the socket has taken all responses. */
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
@@ -74,6 +74,16 @@
                     gateway.awaitHeldBytes(0)
                 }
             }
+            // Requests behind the last one of a connection kept their share for good, until all bodies were refused.
+            it("is freed when it waits behind a request that ends the connection") {
+                gateway.caller().use {
+                    val last = head(BODY_BYTES).replace("X-Id: 1", "X-Id: 1\r\nConnection: close")
+                    it.send(last + "b".repeat(BODY_BYTES) + head(BODY_BYTES) + "b".repeat(BODY_BYTES))
+                    it.readResponse().shouldNotBeNull().status shouldBe 200
+                    it.isClosed() shouldBe true
+                }
+                gateway.awaitHeldBytes(0)
+            }
             it("is freed when its caller leaves while it waits behind another, and when the gateway fails") {
                 gateway.caller().use {
                     it.send(head(BODY_BYTES, TestGateway.FAILING_PATH) + "b".repeat(BODY_BYTES))
