Refuse a request whose body stops coming for the idle timeout

What callers would have seen: after a few callers had stopped within a body, or were cut off without a reset, 503 for every request with a body.

Change: 408 after the idle timeout without a byte, as for a head; the request has not run, and its memory is free. RequestMemoryTest, SlowCallerTest and ExpectContinueTest pass.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -38,6 +38,7 @@
     private var headStartedMillis: Long? = null
     private val acceptedMillis = MonotonicClock.nowMillis()
     private var hasReceivedBytes = false
+    private var lastReceivedMillis = acceptedMillis
     private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
@@ -113,6 +114,7 @@
     /** Starts the time limit for the request head. Called when bytes were received, before they are decoded. */
     fun onBytesReceived() {
         hasReceivedBytes = true
+        lastReceivedMillis = MonotonicClock.nowMillis()
         if (incoming == null && headStartedMillis == null) headStartedMillis = MonotonicClock.nowMillis()
     }
 
@@ -277,12 +279,17 @@
         when {
             !isClosing && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
+            isOverdue && isBodyStalled(nowMillis) ->
+                rejectRequest(REQUEST_TIMEOUT, "the rest of the request body did not come in time")
             isOverdue && hasUnsentBytes -> resetSlowCaller()
             isOverdue && isIdle -> closeGracefully()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    private fun isBodyStalled(nowMillis: Long): Boolean =
+        !isClosing && incoming != null && nowMillis - lastReceivedMillis > server.limits.idleTimeoutMillis
+
     private fun resetSlowCaller() {
         log.info("response_not_taken") {
             field("caller", context.channel().remoteAddress())
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
@@ -15,6 +15,7 @@
 private const val BODY_BYTES = 100_000
 private const val HELD_BODIES = 3
 private const val CALLERS = 8
+private const val IDLE_MILLIS = 1_000L
 
 private fun head(lengthBytes: Int, path: String = "/n/x") =
     "POST $path HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nContent-Length: $lengthBytes\r\n\r\n"
@@ -29,7 +30,7 @@
         beforeEach {
             upstream = FakeUpstream { it.respond("answer") }
             val memory = RequestMemory(maxBytes = HELD_BODIES * BODY_BYTES.toLong())
-            val limits = CallerLimits.DEFAULT.copy(maxBodyBytes = 2 * BODY_BYTES)
+            val limits = CallerLimits.DEFAULT.copy(maxBodyBytes = 2 * BODY_BYTES, idleTimeoutMillis = IDLE_MILLIS)
             gateway = TestGateway(listOf(upstream.address to null), limits = limits, memory = memory)
         }
         afterEach {
@@ -84,6 +85,18 @@
                 }
                 gateway.awaitHeldBytes(0)
             }
+            // Callers that stopped within a body, or were cut off, held the memory for good, and all others were refused.
+            it("is freed when its caller sends no more of the body") {
+                val stalled = List(HELD_BODIES) { gateway.caller() }
+                stalled.forEach { it.send(head(BODY_BYTES) + "b".repeat(BODY_BYTES - 1)) }
+                gateway.awaitHeldBytes(HELD_BODIES * (BODY_BYTES - 1L))
+                Thread.sleep(4 * IDLE_MILLIS)
+                gateway.caller().use {
+                    it.send(head(BODY_BYTES) + "b".repeat(BODY_BYTES))
+                    it.readResponse().shouldNotBeNull().status shouldBe 200
+                }
+                stalled.forEach(RawCaller::close)
+            }
             it("is freed when its caller leaves while it waits behind another, and when the gateway fails") {
                 gateway.caller().use {
                     it.send(head(BODY_BYTES, TestGateway.FAILING_PATH) + "b".repeat(BODY_BYTES))
