Log which list of upstreams an entry uses or refuses, and where it is from

Each decision now has a line with the source, the age, and the age of the list that was held. No logic is changed.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -126,13 +126,27 @@
         val snapshot = update.directory
         if (snapshot == null) {
             directoryBook.confirm(readMillis)
-        } else if (directoryBook.replaceUnlessOlder(snapshot.upstreams, readMillis)) {
-            dispatcher.updateUpstreams(snapshot.upstreams)
-            log.info("directory_changed") {
-                field("upstreams", snapshot.upstreams.size)
-                field("leaving", snapshot.upstreams.filter { it.isLeaving }.joinToString(",") { it.id.text })
-                field("age_ms", ageMillis)
-            }
+        } else {
+            considerDirectory(DirectoryReading(snapshot.upstreams, readMillis), feed.current?.text)
+        }
+    }
+
+    /**
+     * Uses [reading] unless it is older than the list in use.
+     *
+     * @param source the control instance that sent it, or null if this process has read it itself
+     */
+    private fun considerDirectory(reading: DirectoryReading, source: String?) {
+        val nowMillis = MonotonicClock.nowMillis()
+        val heldAgeMillis = directoryBook.ageMillisOrNull(nowMillis)
+        val isTaken = directoryBook.replaceUnlessOlder(reading.upstreams, reading.readMillis)
+        if (isTaken) dispatcher.updateUpstreams(reading.upstreams)
+        log.info(if (isTaken) "directory_changed" else "directory_refused") {
+            field("source", source ?: "self")
+            field("upstreams", reading.upstreams.size)
+            field("leaving", reading.upstreams.filter { it.isLeaving }.joinToString(",") { it.id.text })
+            field("age_ms", nowMillis - reading.readMillis)
+            field("held_age_ms", heldAgeMillis)
         }
     }
 
@@ -178,10 +192,8 @@
     }
 
     private fun onDirectoryRead(reading: DirectoryReading) {
-        if (directoryBook.replaceUnlessOlder(reading.upstreams, reading.readMillis)) {
-            dispatcher.updateUpstreams(reading.upstreams)
-        }
         log.info("directory_read") { field("upstreams", reading.upstreams.size) }
+        considerDirectory(reading, source = null)
     }
 
     private fun newDirectoryCache(): DirectoryCache {
