Send nothing to an upstream that has announced in an answer that it is leaving

Callers saw requests go to back ends that had said they were leaving. The header by which an upstream says so was read nowhere: only the directory took an upstream out, and that lags, can be out of reach, and may be old.

An announcement is final for a start, an id at an address: no list takes it back, however new it is. The directory shows a new start by another address, by being cold again, or after an absence of a second in several lists. Requests in progress end in order, among them the release of a KV cache. An answer of another upstream at the address, and a malformed or contradictory header, say nothing.

Tests: updateUpstreams takes the time at which the list was read, which DispatcherTest, DrawnSitesTest and CacheCopyTest now pass; no expectation of theirs is changed.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -18,6 +18,7 @@
 public class Dispatcher(private val dataCentre: DataCentre, private val costs: PlacementCosts, seed: Long) {
     private val random = Random(seed)
     private var records: PersistentMap<UpstreamId, UpstreamRecord> = persistentMapOf()
+    private val leavingUpstreams = LeavingUpstreams()
     private var nextAttemptNumber = 1L
     private var averagePrefillDelay = PrefillDelay.NONE
     private var directPrefillRate = DirectPrefillRate.NONE
@@ -34,17 +35,37 @@
         record.listed.service == service && record.listed.stage == EngineStage.PREFILL && !record.listed.isLeaving
     }
 
-    /** Replaces the list of upstreams. An upstream that stays listed under the same address keeps its record. */
-    public fun updateUpstreams(upstreams: List<ListedUpstream>) {
-        val updated = upstreams.associate { listed ->
+    /**
+     * Replaces the list of upstreams by [upstreams], which was read at [readMillis]. An upstream that stays listed under
+     * the same address keeps its record, and stays leaving, as [LeavingUpstreams] defines it.
+     */
+    public fun updateUpstreams(upstreams: List<ListedUpstream>, readMillis: Long): LeavingUpstreams.AppliedList {
+        val applied = leavingUpstreams.apply(upstreams, readMillis)
+        val updated = applied.upstreams.associate { listed ->
             val known = records[listed.id]?.takeIf { it.listed.address == listed.address }
             listed.id to (known?.copy(listed = listed) ?: UpstreamRecord.fromListed(listed))
         }
-        val leaving = records.filter { (id, record) -> id !in updated && record.attempts.isNotEmpty() }
-        val retained = leaving.mapValues { (_, record) -> record.copy(listed = record.listed.copy(isLeaving = true)) }
+        val absent = records.filter { (id, record) -> id !in updated && record.attempts.isNotEmpty() }
+        val retained = absent.mapValues { (_, record) -> record.copy(listed = record.listed.copy(isLeaving = true)) }
         records = (updated + retained).toPersistentMap()
+        return applied
     }
 
+    /**
+     * Records that [upstream] announced in an answer, received at [nowMillis], that it is leaving, and returns whether
+     * that is new. From now on no request is placed there, whatever the directory says; those in progress go on.
+     */
+    public fun recordLeaving(upstream: ListedUpstream, nowMillis: Long): Boolean {
+        val record = records[upstream.id]
+        if (record != null && record.listed.address != upstream.address) return false
+        if (!leavingUpstreams.recordAnswer(upstream, nowMillis)) return false
+        update(upstream.id) { it.copy(listed = it.listed.copy(isLeaving = true)) }
+        return true
+    }
+
+    /** Whether the upstream [id] is listed and not leaving. */
+    public fun acceptsRequests(id: UpstreamId): Boolean = records[id]?.listed?.isLeaving == false
+
     /** Chooses an upstream of the plain service [service], none of [tried]. */
     public fun place(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long): Placement {
         val usable = usableRecords(service, tried, nowMillis)
--- /dev/null
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
@@ -0,0 +1,99 @@
+package marigoldward.core.dispatch
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import marigoldward.core.model.UpstreamId
+
+/**
+ * The upstreams that have announced in an answer that they are leaving.
+ *
+ * An announcement is final for the start of the upstream that made it, since a list that names the upstream as ready may
+ * be older than the announcement, whatever its age. A start is identified by id and address. A directory that keeps both
+ * shows a new start in one of two ways: the upstream is cold again, or it was absent for [MIN_ABSENCE_MILLIS]. A shorter
+ * absence may be an entry that was left out because the list changed while its pages were read.
+ *
+ * Has no clock of its own and is not thread-safe. Times are in milliseconds of monotonic time.
+ */
+public class LeavingUpstreams {
+    private var announcements: PersistentMap<UpstreamId, Announcement> = persistentMapOf()
+
+    /**
+     * @property isWarm whether the upstream was last listed as warm
+     * @property absentSinceMillis when the first list was read that doesn't name the upstream, or null if the last one
+     *   names it
+     */
+    private data class Announcement(
+        val address: String,
+        val announcedMillis: Long,
+        val isWarm: Boolean,
+        val absentSinceMillis: Long?,
+    )
+
+    /**
+     * The result of applying a list.
+     *
+     * @property upstreams the upstreams of the list; those that have announced it are marked as leaving
+     * @property returned the upstreams that have started again since they announced it
+     */
+    public data class AppliedList(
+        val upstreams: List<ListedUpstream>,
+        val returned: List<ListedUpstream>,
+    )
+
+    /** Whether this start of [upstream] has announced that it is leaving. */
+    public operator fun contains(upstream: ListedUpstream): Boolean =
+        announcements[upstream.id]?.let { it.address == upstream.address } ?: false
+
+    /**
+     * Records that [upstream] announced in an answer, received at [nowMillis], that it is leaving, and returns whether
+     * that is new.
+     */
+    public fun recordAnswer(upstream: ListedUpstream, nowMillis: Long): Boolean {
+        if (upstream in this) return false
+        announcements = announcements.put(upstream.id, announcement(upstream, nowMillis))
+        return true
+    }
+
+    /**
+     * Applies [list], which was read at [readMillis]. Lists have to be applied in the order in which they were read; one
+     * that hasn't changed since is applied again at the time at which it was read again.
+     */
+    public fun apply(list: List<ListedUpstream>, readMillis: Long): AppliedList {
+        val newStarts = list.filter { isNewStart(it, readMillis) }
+        newStarts.forEach { announcements = announcements.remove(it.id) }
+        recordAbsent(list, readMillis)
+        val marked = list.map { if (it in this) it.copy(isLeaving = true) else it }
+        return AppliedList(marked, newStarts.filter { !it.isLeaving })
+    }
+
+    private fun announcement(upstream: ListedUpstream, nowMillis: Long) =
+        Announcement(upstream.address, nowMillis, isWarm = !upstream.isCold, absentSinceMillis = null)
+
+    private fun isNewStart(listed: ListedUpstream, readMillis: Long): Boolean {
+        val known = announcements[listed.id] ?: return false
+        if (listed.address != known.address) return true
+        return readMillis > known.announcedMillis && listed.isCold && known.isWarm
+    }
+
+    /** Records which upstreams [list] doesn't name, and forgets those that have been absent for long enough. */
+    private fun recordAbsent(list: List<ListedUpstream>, readMillis: Long) {
+        if (announcements.isEmpty()) return
+        val listed = list.associateBy { it.id }
+        announcements.forEach { (id, known) ->
+            val current = listed[id]
+            val absentSinceMillis = known.absentSinceMillis ?: readMillis
+            announcements = when {
+                current != null ->
+                    announcements.put(id, known.copy(isWarm = !current.isCold, absentSinceMillis = null))
+                readMillis <= known.announcedMillis -> announcements
+                readMillis - absentSinceMillis >= MIN_ABSENCE_MILLIS -> announcements.remove(id)
+                else -> announcements.put(id, known.copy(absentSinceMillis = absentSinceMillis))
+            }
+        }
+    }
+
+    private companion object {
+        /** Longer than the time between two readings of the directory. */
+        const val MIN_ABSENCE_MILLIS = 1_000L
+    }
+}
--- a/core/src/test/kotlin/marigoldward/core/dispatch/CacheCopyTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/CacheCopyTest.kt
@@ -24,7 +24,7 @@
     List(4) { engine("decoder-$it", EngineStage.DECODE) }
 
 private fun dispatcher(seed: Long): Dispatcher =
-    Dispatcher(HERE, PlacementCosts.DEFAULT, seed).apply { updateUpstreams(ENGINES) }
+    Dispatcher(HERE, PlacementCosts.DEFAULT, seed).apply { updateUpstreams(ENGINES, readMillis = 0) }
 
 private fun generation(shared: String, own: Int, sharedTokens: Int = SHARED_TOKENS): GenerationRequest {
     val parts = listOf(PromptPart(shared, sharedTokens), PromptPart("own-$shared-$own", OWN_TOKENS))
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -24,7 +24,7 @@
 ) = ListedUpstream(UpstreamId.parse(name), SERVICE, "127.0.0.1:80", dataCentre, 6, isLeaving, isCold = false, stage)
 
 private fun dispatcher(vararg upstreams: ListedUpstream): Dispatcher =
-    Dispatcher(HERE, PlacementCosts.DEFAULT, seed = 1).apply { updateUpstreams(upstreams.toList()) }
+    Dispatcher(HERE, PlacementCosts.DEFAULT, seed = 1).apply { updateUpstreams(upstreams.toList(), readMillis = 0) }
 
 private fun prefillEngines(count: Int): List<ListedUpstream> =
     List(count) { upstream("reader-$it", EngineStage.PREFILL) }
@@ -77,6 +77,30 @@
                 dispatcher(upstream("one", isLeaving = true)).place(SERVICE, emptySet(), 0) shouldBe
                     Placement.None(Placement.Reason.NO_UPSTREAM)
             }
+            // Guards against requests to an upstream that has said in an answer that it is leaving.
+            it("never goes to an upstream that has announced in an answer that it is leaving, whatever is listed") {
+                val leaving = upstream("one")
+                val other = upstream("two", dataCentre = THERE)
+                val dispatcher = dispatcher(leaving, other)
+                val attempt = dispatcher.recordStart(leaving.id, null, 0, 0)
+                dispatcher.recordLeaving(leaving, 5) shouldBe true
+                dispatcher.place(SERVICE, emptySet(), 5) shouldBe Placement.Single(other, 0)
+                dispatcher.updateUpstreams(listOf(leaving, other), readMillis = 600)
+                dispatcher.place(SERVICE, emptySet(), 600) shouldBe Placement.Single(other, 0)
+                dispatcher.recordEnd(attempt, AttemptEnd.ANSWERED, 700)
+                dispatcher.place(SERVICE, setOf(other.id), 700) shouldBe
+                    Placement.None(Placement.Reason.NONE_USABLE)
+                dispatcher.updateUpstreams(listOf(leaving), readMillis = 1_200)
+                dispatcher.place(SERVICE, emptySet(), 1_200) shouldBe Placement.None(Placement.Reason.NO_UPSTREAM)
+            }
+            it("goes to an upstream at another address than the one that has announced that it is leaving") {
+                val old = upstream("one")
+                val dispatcher = dispatcher(old)
+                val new = old.copy(address = "127.0.0.1:81")
+                dispatcher.updateUpstreams(listOf(new), readMillis = 10)
+                dispatcher.recordLeaving(old, 20) shouldBe false
+                dispatcher.place(SERVICE, emptySet(), 20) shouldBe Placement.Single(new, 0)
+            }
             it("avoids an unreachable upstream until its ejection is over") {
                 val dispatcher = dispatcher(upstream("one"))
                 val attempt = dispatcher.recordStart(UpstreamId.parse("one"), null, 0, 0)
@@ -201,12 +225,30 @@
                 val dispatcher = dispatcher(upstream("decoder", EngineStage.DECODE))
                 dispatcher.place(generation("x", 1_100), emptySet(), 0).shouldBeInstanceOf<Placement.Single>()
             }
+            it("never go to an engine that has announced that it is leaving, and copy nothing from it") {
+                val engines = List(3) { upstream("decoder-$it", EngineStage.DECODE) } + prefillEngines(3)
+                val dispatcher = dispatcher(*engines.toTypedArray())
+                val leaving = setOf(engines[0], engines[3])
+                leaving.forEach { dispatcher.recordLeaving(it, 0) shouldBe true }
+                dispatcher.prefillEngineCount(SERVICE) shouldBe 2
+                repeat(20) { number ->
+                    val request = generation("shared-$number", 1_100)
+                    val used = when (val placement = dispatcher.place(request, emptySet(), 0)) {
+                        is Placement.Split -> listOf(placement.prefill, placement.decode, placement.cacheSource)
+                        is Placement.Single -> listOf(placement.upstream, placement.cacheSource)
+                        is Placement.None -> error("refused as ${placement.reason}")
+                    }
+                    used.filter { it in leaving } shouldBe emptyList()
+                    dispatcher.decodeEngineOrNull(request, engines[4], emptySet(), 0) shouldNotBe engines[0]
+                }
+            }
             it("go to an engine that accepts new requests once the prompt has been processed") {
                 val leaving = upstream("decoder-1", EngineStage.DECODE)
                 val prefillEngine = upstream("reader-0", EngineStage.PREFILL)
                 val dispatcher = dispatcher(prefillEngine, leaving, upstream("decoder-2", EngineStage.DECODE))
                 dispatcher.updateUpstreams(
                     listOf(prefillEngine, leaving.copy(isLeaving = true), upstream("decoder-2", EngineStage.DECODE)),
+                    readMillis = 1,
                 )
                 val decodeEngine = dispatcher.decodeEngineOrNull(generation("x", 1_100), prefillEngine, emptySet(), 0)
                 decodeEngine?.id?.text shouldBe "decoder-2"
@@ -293,19 +335,19 @@
                 val first = upstream("reader-0", EngineStage.PREFILL)
                 val dispatcher = dispatcher(first)
                 dispatcher.recordStart(first.id, null, 10, 0)
-                dispatcher.updateUpstreams(listOf(first.copy(isCold = true)))
+                dispatcher.updateUpstreams(listOf(first.copy(isCold = true)), readMillis = 1)
                 dispatcher.recordOrNull(first.id)?.attempts?.size shouldBe 1
-                dispatcher.updateUpstreams(listOf(first.copy(address = "127.0.0.1:81")))
+                dispatcher.updateUpstreams(listOf(first.copy(address = "127.0.0.1:81")), readMillis = 2)
                 dispatcher.recordOrNull(first.id)?.attempts?.size shouldBe 0
             }
             it("keeps an unlisted upstream until its attempts have ended, without placing more requests there") {
                 val gone = upstream("one")
                 val dispatcher = dispatcher(gone)
                 val attempt = dispatcher.recordStart(gone.id, null, 0, 0)
-                dispatcher.updateUpstreams(emptyList())
+                dispatcher.updateUpstreams(emptyList(), readMillis = 1)
                 dispatcher.place(SERVICE, emptySet(), 0).shouldBeInstanceOf<Placement.None>()
                 dispatcher.recordEnd(attempt, AttemptEnd.ANSWERED, 5)
-                dispatcher.updateUpstreams(emptyList())
+                dispatcher.updateUpstreams(emptyList(), readMillis = 1)
                 dispatcher.recordOrNull(gone.id) shouldBe null
             }
         }
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DrawnSitesTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DrawnSitesTest.kt
@@ -49,7 +49,7 @@
     fun dispatcher(dataCentre: DataCentre): Dispatcher =
         Dispatcher(dataCentre, PlacementCosts.DEFAULT, random.nextLong()).also {
             it.gatewayCount = gatewayCount
-            it.updateUpstreams(engines + plainUpstreams)
+            it.updateUpstreams(engines + plainUpstreams, readMillis = 0)
         }
 
     fun generation(): GenerationRequest {
@@ -128,7 +128,8 @@
                     val dispatcher = site.dispatcher(site.dataCentres.first())
                     val tried = site.engines.filter { site.random.nextBoolean() }.map { it.id }.toSet()
                     val leaving = site.engines.filter { site.random.nextInt(3) == 0 }.map { it.id }.toSet()
-                    dispatcher.updateUpstreams(site.engines.map { it.copy(isLeaving = it.id in leaving) })
+                    val listed = site.engines.map { it.copy(isLeaving = it.id in leaving) }
+                    dispatcher.updateUpstreams(listed, readMillis = 1)
                     val usable = site.engines.map { it.id }.toSet() - tried - leaving
                     repeat(5) {
                         dispatcher.place(site.generation(), tried, 0).upstreams().forEach { it.id shouldBeIn usable }
--- /dev/null
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
@@ -0,0 +1,98 @@
+package marigoldward.core.dispatch
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import marigoldward.core.model.DataCentre
+import marigoldward.core.model.PoolName
+import marigoldward.core.model.UpstreamId
+
+private val READY = ListedUpstream(
+    UpstreamId.parse("one"),
+    PoolName.parse("service"),
+    "127.0.0.1:80",
+    DataCentre.parse("here"),
+    slots = 6,
+    isLeaving = false,
+    isCold = false,
+    stage = null,
+)
+private val OTHER = READY.copy(id = UpstreamId.parse("two"))
+
+private fun LeavingUpstreams.isLeavingAfter(list: List<ListedUpstream>, readMillis: Long): Boolean =
+    apply(list, readMillis).upstreams.first { it.id == READY.id }.isLeaving
+
+class LeavingUpstreamsTest :
+    DescribeSpec({
+        describe("an upstream that has announced in an answer that it is leaving") {
+            // Guards against a list that names an upstream as ready and brings it back after its own announcement.
+            it("stays leaving, whatever lists say, however old they are") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000) shouldBe true
+                listOf(200L, 900, 1_000, 1_001, 5_000, 60_000).forEach { readMillis ->
+                    leaving.isLeavingAfter(listOf(READY, OTHER), readMillis) shouldBe true
+                }
+                leaving.apply(listOf(READY, OTHER), 61_000).upstreams shouldBe
+                    listOf(READY.copy(isLeaving = true), OTHER)
+            }
+            it("is new only once") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000) shouldBe true
+                leaving.recordAnswer(READY, 1_100) shouldBe false
+            }
+            it("has started again if it is listed at another address") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000)
+                val moved = READY.copy(address = "127.0.0.1:81")
+                val applied = leaving.apply(listOf(moved), 1_500)
+                applied.upstreams shouldBe listOf(moved)
+                applied.returned shouldBe listOf(moved)
+            }
+            it("has started again if it is listed as cold, though it had been warm") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000)
+                leaving.isLeavingAfter(listOf(READY.copy(isCold = true)), 900) shouldBe true
+                leaving.isLeavingAfter(listOf(READY), 1_500) shouldBe true
+                leaving.isLeavingAfter(listOf(READY.copy(isCold = true)), 2_000) shouldBe false
+            }
+            it("has not started again if it was cold all the time") {
+                val leaving = LeavingUpstreams()
+                val cold = READY.copy(isCold = true)
+                leaving.recordAnswer(cold, 1_000)
+                leaving.isLeavingAfter(listOf(cold), 1_500) shouldBe true
+                leaving.isLeavingAfter(listOf(READY), 2_500) shouldBe true
+            }
+            it("has started again if it is listed after it was absent for a while") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000)
+                leaving.apply(listOf(OTHER), 1_600)
+                leaving.apply(listOf(OTHER), 2_200)
+                leaving.apply(listOf(OTHER), 2_800)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 3_400) shouldBe false
+            }
+            // Guards against an entry that is missing from one reading, as the list changed between two of its pages.
+            it("has not started again after it was missing from a single list") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 1_000)
+                leaving.apply(listOf(OTHER), 1_600)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 9_000) shouldBe true
+                leaving.apply(listOf(OTHER), 9_600)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 10_200) shouldBe true
+            }
+            it("has not started again if it is absent only from lists that were read before the answer") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(READY, 5_000)
+                leaving.apply(listOf(OTHER), 1_600)
+                leaving.apply(listOf(OTHER), 4_000)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 5_500) shouldBe true
+            }
+        }
+
+        describe("an upstream that was only missing from lists") {
+            it("is usable once it is listed again") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY, OTHER), 1_000)
+                leaving.apply(listOf(OTHER), 1_600)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 2_200) shouldBe false
+            }
+        }
+    })
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -92,6 +92,7 @@
      * @property load the load that the upstream reports, or null if it reports none
      * @property refusesForMillis how long the upstream asks for no further requests, in milliseconds, or null if it does
      *   not
+     * @property isLeaving whether the upstream announces that it is leaving and wants no further requests at all
      */
     public data class ResponseMetadata(
         val requestId: String?,
@@ -102,5 +103,6 @@
         val isContentEncoded: Boolean,
         val load: ReportedLoad?,
         val refusesForMillis: Long? = null,
+        val isLeaving: Boolean = false,
     )
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -20,6 +20,7 @@
 import marigoldward.gateway.control.CrashReporter
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
+import marigoldward.gateway.session.LeavingLog
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.support.bytes.Gzip
@@ -96,7 +97,7 @@
         callerServer.start(settings.callerListenAddress)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
         scheduleRepeatedly(DIRECTORY_CHECK_INTERVAL_MILLIS, ::checkDirectory)
-        scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired { dispatcher.recordOrNull(it) != null } }
+        scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired(dispatcher::acceptsRequests) }
         loop.execute(feed::maintain)
     }
 
@@ -140,7 +141,10 @@
         val nowMillis = MonotonicClock.nowMillis()
         val heldAgeMillis = directoryBook.ageMillisOrNull(nowMillis)
         val isTaken = directoryBook.replaceUnlessOlder(reading.upstreams, reading.readMillis)
-        if (isTaken) dispatcher.updateUpstreams(reading.upstreams)
+        if (isTaken) {
+            val applied = dispatcher.updateUpstreams(reading.upstreams, reading.readMillis)
+            LeavingLog.listApplied(applied, nowMillis - reading.readMillis)
+        }
         log.info(if (isTaken) "directory_changed" else "directory_refused") {
             field("source", source ?: "self")
             field("upstreams", reading.upstreams.size)
--- a/gateway/src/main/kotlin/marigoldward/gateway/message/Headers.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/message/Headers.kt
@@ -5,6 +5,10 @@
     /** Returns the value of the first header called [name], or null. */
     public fun first(name: String): String? = entries.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 
+    /** Returns the values of all headers called [name]. */
+    public fun all(name: String): List<String> =
+        entries.filter { it.name.equals(name, ignoreCase = true) }.map { it.value }
+
     /** Whether there is a header called [name]. */
     public fun has(name: String): Boolean = first(name) != null
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/CacheRelease.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/CacheRelease.kt
@@ -16,12 +16,13 @@
 
     fun send(context: SessionContext, engine: ListedUpstream, handle: String) {
         val head = context.dialect.cacheReleaseRequest(handle)
-        val listener = ReleaseListener(engine)
+        val listener = ReleaseListener(context, engine)
         context.pool.send(UpstreamCall(engine, head, ByteArray(0), null, UpstreamCall.ConnectionReuse.ANY, listener))
     }
 
-    private class ReleaseListener(private val engine: ListedUpstream) : UpstreamListener {
-        override fun onHead(head: ResponseHead) = Unit
+    private class ReleaseListener(private val context: SessionContext, private val engine: ListedUpstream) :
+        UpstreamListener {
+        override fun onHead(head: ResponseHead) = context.recordAnnouncement(engine, context.dialect.readResponse(head))
 
         override fun onData(data: ByteArray) = Unit
 
--- /dev/null
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/LeavingLog.kt
@@ -0,0 +1,32 @@
+package marigoldward.gateway.session
+
+import marigoldward.core.dispatch.LeavingUpstreams
+import marigoldward.core.dispatch.ListedUpstream
+import marigoldward.support.log.EventLog
+
+/** Logs which upstreams get no more requests because they are leaving, and which are used again. */
+internal object LeavingLog {
+    private val log = EventLog.fromName("upstream")
+
+    /** Logs that [upstream] has announced it in an answer that was received just now. */
+    fun announcedInAnswer(upstream: ListedUpstream) {
+        log.info("upstream_leaving") {
+            field("upstream", upstream.id)
+            field("address", upstream.address)
+            field("source", "answer")
+            field("age_ms", 0)
+        }
+    }
+
+    /** Logs what has changed with [list], which was read [ageMillis] ago. */
+    fun listApplied(list: LeavingUpstreams.AppliedList, ageMillis: Long) {
+        list.returned.forEach { upstream ->
+            log.info("upstream_returned") {
+                field("upstream", upstream.id)
+                field("address", upstream.address)
+                field("cold", upstream.isCold)
+                field("age_ms", ageMillis)
+            }
+        }
+    }
+}
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
 import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.LongPromptGate
 import marigoldward.core.dispatch.RetryBudgetShare
 import marigoldward.core.dispatch.ShutdownAdmission
@@ -78,6 +79,17 @@
     fun longPromptLimit(service: PoolName): Int =
         LongPromptGate.limitPerGateway(dispatcher.prefillEngineCount(service), gatewayCount)
 
+    /**
+     * Records it if [upstream] announces in a response with [metadata] that it is leaving. A response of another upstream
+     * that now has its address says nothing about it.
+     */
+    fun recordAnnouncement(upstream: ListedUpstream, metadata: Dialect.ResponseMetadata) {
+        val isOwn = metadata.answeredBy?.let { it == upstream.id.text } ?: !metadata.isMisdirected
+        if (!metadata.isLeaving || !isOwn || !dispatcher.recordLeaving(upstream, nowMillis())) return
+        pool.closeIdle(upstream.id)
+        LeavingLog.announcedInAnswer(upstream)
+    }
+
     /** Runs [action] on the event loop thread after [delayMillis], at once if that is negative. */
     fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
         loop.schedule(loggedTask(action), maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -125,6 +125,7 @@
             val nowMillis = context.nowMillis()
             context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
             metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
+            context.recordAnnouncement(upstream, reported)
             listener.onHead(head, metadata)
         }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -44,12 +44,14 @@
         }
     }
 
-    /** Closes the idle connections that upstreams are about to close, and those to upstreams that are not listed. */
-    fun closeExpired(isListed: (UpstreamId) -> Boolean) {
+    /**
+     * Closes the idle connections that upstreams are about to close, and those to upstreams that get no more requests.
+     */
+    fun closeExpired(acceptsRequests: (UpstreamId) -> Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
-        upstreamsWithoutIds.removeIf { !isListed(it) }
+        upstreamsWithoutIds.removeIf { !acceptsRequests(it) }
         idle.entries.removeIf { (id, connections) ->
-            val expired = connections.filter { !isListed(id) || !isUsable(it, nowMillis, MAX_IDLE_MILLIS) }
+            val expired = connections.filter { !acceptsRequests(id) || !isUsable(it, nowMillis, MAX_IDLE_MILLIS) }
             expired.forEach { connection ->
                 connections.remove(connection)
                 connection.close()
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -11,7 +11,7 @@
 
 /**
  * A dialect for tests, with the headers `X-Id`, `X-Wait`, `X-Prompt`, `X-Tokens`, `X-Step`, `X-Cache`, `X-Signed`,
- * `X-Not-Run`, `X-By` and `X-Refuses-For`.
+ * `X-Not-Run`, `X-By`, `X-Refuses-For` and `X-Leaving`.
  */
 internal object TestDialect : Dialect {
     private val REPLACED_HEADERS = setOf("x-wait", "x-step", "x-cache", "content-length", "expect")
@@ -45,6 +45,7 @@
         isContentEncoded = head.headers.has("Content-Encoding"),
         load = null,
         refusesForMillis = head.headers.first("X-Refuses-For")?.toLong(),
+        isLeaving = head.headers.has("X-Leaving"),
     )
 
     override fun readCacheHandle(body: ByteArray): Outcome<String, String> = Outcome.Success(body.decodeToString())
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -23,6 +23,7 @@
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
+import marigoldward.support.time.MonotonicClock
 import java.io.Closeable
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -70,15 +71,24 @@
     }
     val port: Int get() = server.port
 
+    /** The upstreams as they are listed at first. */
+    val listed: List<ListedUpstream> =
+        upstreams.mapIndexed { index, (address, stage) -> listed(index, address, stage) }
+
     init {
         context.gatewayCount = 1
-        dispatcher.updateUpstreams(upstreams.mapIndexed { index, (address, stage) -> listed(index, address, stage) })
+        updateUpstreams(listed)
         if (isConfigured) gateway.configuration = configuration(upstreams.any { it.second != null }, timeoutMillis)
         server.start(InetSocketAddress("127.0.0.1", 0))
     }
 
     fun caller(): RawCaller = RawCaller(port)
 
+    /** Replaces the list of upstreams, as read now. */
+    fun updateUpstreams(list: List<ListedUpstream>) {
+        dispatcher.updateUpstreams(list, MonotonicClock.nowMillis())
+    }
+
     /** Shuts the gateway down within [gracePeriodMillis]; the connections that are open then are reset, as at an exit. */
     fun shutDown(gracePeriodMillis: Long) {
         GracefulShutdown(loop, server, gateway, gracePeriodMillis).run()
