Keep an upstream out that the directory has listed as leaving, until it starts again

An upstream that a list named as leaving was usable again with any list that named it as ready, such as one that is older but came later. Callers' requests then reached it until the next list.

That an upstream leaves is now final for its start, whoever has said it first, and ends with the same signs of a new start as an announcement in an answer. Evidence: without the line that records a list's word, "stays leaving although a later list names it as ready" fails: expected true, was false.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
@@ -5,7 +5,7 @@
 import marigoldward.core.model.UpstreamId
 
 /**
- * The upstreams that have announced in an answer that they are leaving.
+ * The upstreams that have announced that they are leaving, in an answer or through the directory.
  *
  * An announcement is final for the start of the upstream that made it, since a list that names the upstream as ready may
  * be older than the announcement, whatever its age. A start is identified by id and address. A directory that keeps both
@@ -33,10 +33,12 @@
      * The result of applying a list.
      *
      * @property upstreams the upstreams of the list; those that have announced it are marked as leaving
+     * @property left the upstreams that announced through this list, for the first time, that they are leaving
      * @property returned the upstreams that have started again since they announced it
      */
     public data class AppliedList(
         val upstreams: List<ListedUpstream>,
+        val left: List<ListedUpstream>,
         val returned: List<ListedUpstream>,
     )
 
@@ -62,8 +64,10 @@
         val newStarts = list.filter { isNewStart(it, readMillis) }
         newStarts.forEach { announcements = announcements.remove(it.id) }
         recordAbsent(list, readMillis)
+        val left = list.filter { it.isLeaving && it !in this }
+        left.forEach { announcements = announcements.put(it.id, announcement(it, readMillis)) }
         val marked = list.map { if (it in this) it.copy(isLeaving = true) else it }
-        return AppliedList(marked, newStarts.filter { !it.isLeaving })
+        return AppliedList(marked, left, newStarts.filter { !it.isLeaving })
     }
 
     private fun announcement(upstream: ListedUpstream, nowMillis: Long) =
--- a/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
@@ -1,6 +1,7 @@
 package marigoldward.core.dispatch
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
@@ -38,6 +39,7 @@
                 val leaving = LeavingUpstreams()
                 leaving.recordAnswer(READY, 1_000) shouldBe true
                 leaving.recordAnswer(READY, 1_100) shouldBe false
+                leaving.apply(listOf(READY.copy(isLeaving = true)), 1_200).left.shouldBeEmpty()
             }
             it("has started again if it is listed at another address") {
                 val leaving = LeavingUpstreams()
@@ -87,6 +89,23 @@
             }
         }
 
+        describe("an upstream that the directory has listed as leaving") {
+            // Guards against an upstream that has left and comes back with any list that names it as ready.
+            it("stays leaving although a later list names it as ready") {
+                val leaving = LeavingUpstreams()
+                val announced = READY.copy(isLeaving = true)
+                leaving.apply(listOf(announced), 1_000).left shouldBe listOf(announced)
+                leaving.isLeavingAfter(listOf(READY), 1_600) shouldBe true
+                leaving.apply(listOf(announced), 2_200).left.shouldBeEmpty()
+                leaving.isLeavingAfter(listOf(READY), 2_800) shouldBe true
+            }
+            it("is usable again once it has started again") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY.copy(isLeaving = true)), 1_000)
+                leaving.isLeavingAfter(listOf(READY.copy(address = "127.0.0.1:81")), 1_600) shouldBe false
+            }
+        }
+
         describe("an upstream that was only missing from lists") {
             it("is usable once it is listed again") {
                 val leaving = LeavingUpstreams()
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/LeavingLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/LeavingLog.kt
@@ -9,17 +9,11 @@
     private val log = EventLog.fromName("upstream")
 
     /** Logs that [upstream] has announced it in an answer that was received just now. */
-    fun announcedInAnswer(upstream: ListedUpstream) {
-        log.info("upstream_leaving") {
-            field("upstream", upstream.id)
-            field("address", upstream.address)
-            field("source", "answer")
-            field("age_ms", 0)
-        }
-    }
+    fun announcedInAnswer(upstream: ListedUpstream) = logLeaving(upstream, "answer", ageMillis = 0)
 
     /** Logs what has changed with [list], which was read [ageMillis] ago. */
     fun listApplied(list: LeavingUpstreams.AppliedList, ageMillis: Long) {
+        list.left.forEach { logLeaving(it, "list", ageMillis) }
         list.returned.forEach { upstream ->
             log.info("upstream_returned") {
                 field("upstream", upstream.id)
@@ -29,4 +23,13 @@
             }
         }
     }
+
+    private fun logLeaving(upstream: ListedUpstream, source: String, ageMillis: Long) {
+        log.info("upstream_leaving") {
+            field("upstream", upstream.id)
+            field("address", upstream.address)
+            field("source", source)
+            field("age_ms", ageMillis)
+        }
+    }
 }
