Send no orders to an engine that has announced in an answer that it is leaving

A control instance went on ordering changes of stage at an engine whose reports and answers to orders said that it was leaving, for as long as the directory listed it as ready. Such an order is lost with the engine, and others are planned as if the engine stayed.

EngineControl passes on whether the answer, of whatever status, says so. StageDuty keeps the same record of it as the dispatcher of an entry (LeavingUpstreams): no orders, no calls for its status, and it doesn't count among the engines.

No expectation is changed.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -14,7 +14,6 @@
 import marigoldward.control.storage.ReplicaStore
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlState
-import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.MembershipPlanner
 import marigoldward.core.replication.ReplicaId
@@ -60,7 +59,9 @@
     private val directoryReader = DirectoryDuty(directorySource, ::onDirectoryRead)
     private val sharedDirectory = SharedDirectory(System.nanoTime())
     private val stages =
-        StageDuty(settings.ip, engines, replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS, ::listedUpstreams)
+        StageDuty(settings.ip, engines, replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS) {
+            sharedDirectory.readingOrNull
+        }
 
     @Volatile
     private var seeds = cluster.seedInstances
@@ -118,8 +119,6 @@
     private fun submit(command: ControlCommand, onReply: (SubmitReply) -> Unit): Boolean =
         replicaThread.offer(ReplicaDutyEvent.Submit(command, onReply))
 
-    private fun listedUpstreams(): List<ListedUpstream> = sharedDirectory.readingOrNull?.upstreams.orEmpty()
-
     private fun readDirectoryIfDue() {
         val current = replica.status
         val role = when {
--- a/control/src/main/kotlin/marigoldward/control/stages/EngineControl.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/EngineControl.kt
@@ -10,10 +10,17 @@
 /** Reads the status of engines and sends them orders. Every call waits for its answer. */
 public interface EngineControl {
     /** Returns the status of [engine], or the reason why it could not be read. */
-    public fun readStatus(engine: ListedUpstream): Outcome<EngineStatus, String>
+    public fun readStatus(engine: ListedUpstream): Reply<Outcome<EngineStatus, String>>
 
     /** Sends [order] to its engine. */
-    public fun send(order: StageOrder): OrderResult
+    public fun send(order: StageOrder): Reply<OrderResult>
+
+    /**
+     * The result of a call to an engine.
+     *
+     * @property isLeaving whether the engine announced in its answer, of whatever status, that it is leaving
+     */
+    public data class Reply<out T>(val result: T, val isLeaving: Boolean)
 
     /**
      * An order to change an engine's stage.
--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -3,6 +3,7 @@
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.EngineStatus
+import marigoldward.core.dispatch.LeavingUpstreams
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.StageChange
 import marigoldward.core.dispatch.StagePlanner
@@ -10,6 +11,7 @@
 import marigoldward.core.model.InstanceId
 import marigoldward.core.model.PoolName
 import marigoldward.core.model.UpstreamId
+import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
@@ -22,22 +24,24 @@
  *
  * The term is the fencing token. An order of the previous leader may still arrive for a while, so a new leader sends
  * none for [takeoverDelayMillis]. Right before each order, a quorum confirms that this replica still leads. An engine
- * that did not answer an order gets no other until that one can't arrive any more.
+ * that did not answer an order gets no other until that one can't arrive any more. An engine that is leaving, by the
+ * directory or by its own answers, gets no order and isn't asked for its status.
  *
- * @param listedUpstreams returns the known upstreams
+ * @param directory returns the list of upstreams, or null if there is none yet
  */
 internal class StageDuty(
     private val self: InstanceId,
     private val engines: EngineControl,
     private val replica: Duty<ReplicaDutyEvent>,
     private val takeoverDelayMillis: Long,
-    private val listedUpstreams: () -> List<ListedUpstream>,
+    private val directory: () -> DirectoryReading?,
 ) : AutoCloseable {
     private data object Poll
 
     private val planners = HashMap<PoolName, StagePlanner>()
     private val blockedUntilMillis = HashMap<UpstreamId, Long>()
     private val unreachable = HashSet<UpstreamId>()
+    private val leavingUpstreams = LeavingUpstreams()
 
     /** The last term in which this replica was found to lead. */
     private var leaderTerm = 0L
@@ -63,7 +67,10 @@
             planners.clear()
         }
         if (nowMillis - leaderSinceMillis < takeoverDelayMillis || term == staleTerm) return
-        listedUpstreams()
+        val reading = directory() ?: return
+        leavingUpstreams
+            .apply(reading.upstreams, reading.readMillis)
+            .upstreams
             .filter { it.stage != null && !it.isLeaving }
             .groupBy { it.service }
             .forEach { (service, engines) -> plan(service, engines) }
@@ -71,25 +78,41 @@
 
     private fun plan(service: PoolName, serviceEngines: List<ListedUpstream>) {
         val statuses = serviceEngines.mapNotNull(::statusOrNull)
+        val stayingCount = serviceEngines.count { it !in leavingUpstreams }
         val planner = planners[service] ?: StagePlanner.INITIAL
-        val step = planner.observe(statuses, serviceEngines.size, MonotonicClock.nowMillis())
+        val step = planner.observe(statuses, stayingCount, MonotonicClock.nowMillis())
         planners[service] = step.planner
         step.changes.forEach { order(it, step.planner) }
     }
 
-    private fun statusOrNull(engine: ListedUpstream): EngineStatus? = when (val read = engines.readStatus(engine)) {
-        is Outcome.Success -> {
-            if (unreachable.remove(engine.id)) log.info("engine_regained") { field("engine", engine.id) }
-            read.value
-        }
-        is Outcome.Failure -> {
-            if (unreachable.add(engine.id)) {
-                log.warn("engine_lost") {
-                    field("engine", engine.id)
-                    field("reason", read.error)
+    /** Returns the status of [engine], or null if it could not be read or the engine is leaving. */
+    private fun statusOrNull(engine: ListedUpstream): EngineStatus? {
+        val reply = engines.readStatus(engine)
+        if (reply.isLeaving) recordLeaving(engine, "report")
+        return when (val read = reply.result) {
+            is Outcome.Success -> {
+                if (unreachable.remove(engine.id)) log.info("engine_regained") { field("engine", engine.id) }
+                read.value.takeUnless { reply.isLeaving }
+            }
+            is Outcome.Failure -> {
+                if (unreachable.add(engine.id)) {
+                    log.warn("engine_lost") {
+                        field("engine", engine.id)
+                        field("reason", read.error)
+                    }
                 }
+                null
             }
-            null
+        }
+    }
+
+    private fun recordLeaving(engine: ListedUpstream, source: String) {
+        if (!leavingUpstreams.recordAnswer(engine, MonotonicClock.nowMillis())) return
+        log.info("upstream_leaving") {
+            field("upstream", engine.id)
+            field("address", engine.address)
+            field("source", source)
+            field("age_ms", 0)
         }
     }
 
@@ -101,7 +124,9 @@
         if (term != leaderTerm) return
         val token = FencingToken.fromNumber(term)
         val order = EngineControl.StageOrder(status.engine, change.newStage, self, token, status.orderSequence)
-        val result = engines.send(order)
+        val reply = engines.send(order)
+        if (reply.isLeaving) recordLeaving(status.engine, "order")
+        val result = reply.result
         recordResult(status, result)
         log.info("stage_ordered") {
             field("engine", status.engine.id)
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -35,10 +35,11 @@
 }
 
 private object NoEngines : EngineControl {
-    override fun readStatus(engine: ListedUpstream): Outcome<EngineStatus, String> = Outcome.Failure("no engines")
+    override fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> =
+        EngineControl.Reply(Outcome.Failure("no engines"), isLeaving = false)
 
-    override fun send(order: EngineControl.StageOrder): EngineControl.OrderResult =
-        EngineControl.OrderResult.Refused("no engines")
+    override fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> =
+        EngineControl.Reply(EngineControl.OrderResult.Refused("no engines"), isLeaving = false)
 }
 
 private const val CATCH_UP_MILLIS = 4_000L
