Confirm the list of upstreams that a control instance has sent, not another one

An update without a list says that the list which the instance sent last on this stream is still valid. An entry that had refused that list as older, as it had read one itself, took the update as a confirmation of its own. It kept a list that nobody called current, for as long as nothing changed: requests went to upstreams that had left, and new ones got none.

The entry now keeps the instance's last list, taken or not, and considers it again with the new date.

Tests: DirectoryCache.confirm is gone. The test "does not become newer when it is confirmed with the time of the same read" called it; it now replaces the list by the one of the same read, which has taken the place of confirm, and expects the same age.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -18,6 +18,7 @@
 import marigoldward.gateway.control.BudgetSharersLog
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
+import marigoldward.gateway.control.ReceivedDirectory
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.LeavingLog
@@ -64,6 +65,8 @@
     private val readinessServer = StatusServer(loop, memory, ::readinessPage)
     private val metricsServer = StatusServer(loop, memory, ::metricsPage)
     private val directoryBook = newDirectoryCache()
+    private val receivedDirectory = ReceivedDirectory()
+    private var wasControlListTaken = true
     private val feed =
         ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
@@ -122,22 +125,17 @@
         update.routes?.let { considerConfiguration(it, isFresh) }
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
         if (isFresh) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
-        val ageMillis = update.directoryAgeMillis ?: return
-        val readMillis = MonotonicClock.nowMillis() - ageMillis
-        val snapshot = update.directory
-        if (snapshot == null) {
-            directoryBook.confirm(readMillis)
-        } else {
-            considerDirectory(DirectoryReading(snapshot.upstreams, readMillis), feed.current?.text)
-        }
+        receivedDirectory.receiveOrNull(update, MonotonicClock.nowMillis())
+            ?.let { considerDirectory(it, isChanged = update.directory != null, feed.current?.text) }
     }
 
     /**
      * Uses [reading] unless it is older than the list in use.
      *
+     * @param isChanged whether the list differs from the one before of the same source
      * @param source the control instance that sent it, or null if this process has read it itself
      */
-    private fun considerDirectory(reading: DirectoryReading, source: String?) {
+    private fun considerDirectory(reading: DirectoryReading, isChanged: Boolean, source: String?) {
         val nowMillis = MonotonicClock.nowMillis()
         val heldAgeMillis = directoryBook.ageMillisOrNull(nowMillis)
         val isTaken = directoryBook.replaceUnlessOlder(reading.upstreams, reading.readMillis)
@@ -145,6 +143,10 @@
             val applied = dispatcher.updateUpstreams(reading.upstreams, reading.readMillis)
             LeavingLog.listApplied(applied, nowMillis - reading.readMillis)
         }
+        // An unchanged list of control is only worth a line when it is no longer taken, or taken again.
+        val isTakenAsBefore = source == null || isTaken == wasControlListTaken
+        if (source != null) wasControlListTaken = isTaken
+        if (!isChanged && isTakenAsBefore) return
         log.info(if (isTaken) "directory_changed" else "directory_refused") {
             field("source", source ?: "self")
             field("upstreams", reading.upstreams.size)
@@ -197,7 +199,7 @@
 
     private fun onDirectoryRead(reading: DirectoryReading) {
         log.info("directory_read") { field("upstreams", reading.upstreams.size) }
-        considerDirectory(reading, source = null)
+        considerDirectory(reading, isChanged = reading.upstreams != directoryBook.upstreams, source = null)
     }
 
     private fun newDirectoryCache(): DirectoryCache {
--- a/support/src/main/kotlin/marigoldward/support/directory/DirectoryCache.kt
+++ b/support/src/main/kotlin/marigoldward/support/directory/DirectoryCache.kt
@@ -32,12 +32,6 @@
         return true
     }
 
-    /** Records that the list was still current at [readMillis]. */
-    public fun confirm(readMillis: Long) {
-        val current = reading ?: return
-        reading = current.copy(readMillis = maxOf(current.readMillis, readMillis))
-    }
-
     /** Returns whether the process should read the list itself at [nowMillis]. If so, the read counts as started. */
     public fun markReadStartedIfDue(nowMillis: Long): Boolean {
         val age = ageMillisOrNull(nowMillis) ?: Long.MAX_VALUE
--- a/support/src/test/kotlin/marigoldward/support/directory/DirectoryBookTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/directory/DirectoryBookTest.kt
@@ -12,10 +12,10 @@
                 cache.replaceUnlessOlder(emptyList(), 900) shouldBe false
                 cache.ageMillisOrNull(1_500) shouldBe 500L
             }
-            it("does not become newer when it is confirmed with the time of the same read") {
+            it("does not become newer when it is replaced by the list of the same read") {
                 val cache = DirectoryCache(1_500, 1_000)
                 cache.replaceUnlessOlder(emptyList(), 1_000)
-                cache.confirm(1_000)
+                cache.replaceUnlessOlder(emptyList(), 1_000) shouldBe true
                 cache.ageMillisOrNull(4_000) shouldBe 3_000L
             }
             it("is read by the process itself once it is too old, at most once per period") {
--- a/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
@@ -10,8 +10,10 @@
  * An update from a control instance to an entry.
  *
  * @property routes the route configuration in force, or null if there is none or the entry has it already
- * @property directory the list of upstreams, or null if there is none or it has not changed since the last update
- * @property directoryAgeMillis the time since the list was read, in milliseconds, or null if it was never read
+ * @property directory the list of upstreams, or null if there is none or it has not changed since the last update on the
+ *   same stream that had one
+ * @property directoryAgeMillis the time from the reading of the list until the update was made, in milliseconds, or null
+ *   if it was never read
  * @property maxStalenessMillis the longest time for which the sender may have missed committed changes, in milliseconds
  * @property entryCount the number of entries that watch the control instances
  * @property members the control instances that are members of the cluster
