Date a list of upstreams by when it was sent, not by when it came

The age of a list was measured when it was sent and subtracted from the time at which it came, so that the time under way was not part of it: on a stalled connection, in a full buffer, in front of a frozen process. A list that was seconds old replaced a newer one that the receiver had read itself meanwhile, and brought upstreams back that had left.

Updates tell when they were sent, on the clock of their sender. The receiver compares that with when other updates of the same clock came: the smallest difference belongs to those that came at once. The same fault was in the list that the leader sends to the other control instances. The field is new and optional: without it, a list is dated as before, and processes of the former version ignore it.

Tests: SharedDirectory takes the id of its clock, which SharedDirectoryTest passes.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -57,7 +57,7 @@
         )
     private val replicaThread: Duty<ReplicaDutyEvent> = Duty.start("replica", RING_EVENTS, replica::handle)
     private val directoryReader = DirectoryDuty(directorySource, ::onDirectoryRead)
-    private val sharedDirectory = SharedDirectory(System.nanoTime())
+    private val sharedDirectory = SharedDirectory(System.nanoTime(), MonotonicClock.id)
     private val stages =
         StageDuty(settings.ip, engines, replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS) {
             sharedDirectory.readingOrNull
--- a/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
@@ -16,6 +16,7 @@
 import marigoldward.wire.feed.DirectorySnapshot
 import marigoldward.wire.feed.FeedRpc
 import marigoldward.wire.feed.FeedUpdate
+import marigoldward.wire.feed.SendingTime
 import marigoldward.wire.feed.WatchRequest
 import marigoldward.wire.rpc.ServiceBuilder
 
@@ -150,6 +151,7 @@
             members = current.members,
             dataCentre = dataCentre,
             crashCounts = crashCounts?.takeIf { it.version != watcher.crashVersion },
+            sentAt = SendingTime(MonotonicClock.id, nowMillis),
         )
     }
 
--- a/control/src/main/kotlin/marigoldward/control/feed/SharedDirectory.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/SharedDirectory.kt
@@ -3,7 +3,9 @@
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.support.directory.DirectoryCache
 import marigoldward.support.directory.DirectoryReading
+import marigoldward.support.time.RemoteClocks
 import marigoldward.wire.feed.DirectorySnapshot
+import marigoldward.wire.feed.SendingTime
 import marigoldward.wire.peer.DirectoryUpdate
 
 /**
@@ -13,12 +15,14 @@
  * Has no clock, thread or network connection of its own. Thread-safe.
  *
  * @param firstEdition the number of the first list that is sent; must differ between processes
+ * @param clockId identifies the monotonic clock of this process
  */
-internal class SharedDirectory(firstEdition: Long) {
+internal class SharedDirectory(firstEdition: Long, private val clockId: Long) {
     private val newestList = DirectoryCache(MAX_FOLLOWER_AGE_MILLIS, READ_PERIOD_MILLIS)
     private var edition = firstEdition
     private var lastLeaderReadMillis = Long.MIN_VALUE / 2
     private var lastSnapshot: ReceivedSnapshot? = null
+    private val clocks = RemoteClocks()
 
     private class ReceivedSnapshot(val edition: Long, val upstreams: List<ListedUpstream>)
 
@@ -54,7 +58,8 @@
     fun receive(update: DirectoryUpdate, nowMillis: Long): Boolean {
         update.snapshot?.let { lastSnapshot = ReceivedSnapshot(update.edition, it.upstreams) }
         val known = lastSnapshot?.takeIf { it.edition == update.edition } ?: return false
-        return recordIfNewer(known.upstreams, nowMillis - update.ageMillis)
+        val sentMillis = update.sentAt?.let { clocks.toLocalMillis(it.clockId, it.millis, nowMillis) } ?: nowMillis
+        return recordIfNewer(known.upstreams, sentMillis - update.ageMillis)
     }
 
     private fun recordIfNewer(upstreams: List<ListedUpstream>, validAtMillis: Long): Boolean {
@@ -69,7 +74,7 @@
     fun updateOrNull(sentEdition: Long?, nowMillis: Long): DirectoryUpdate? {
         val reading = newestList.reading ?: return null
         val snapshot = if (sentEdition == edition) null else DirectorySnapshot(reading.upstreams)
-        return DirectoryUpdate(edition, nowMillis - reading.readMillis, snapshot)
+        return DirectoryUpdate(edition, nowMillis - reading.readMillis, snapshot, SendingTime(clockId, nowMillis))
     }
 
     /** The role of a replica, which decides how it gets the list. */
--- a/control/src/test/kotlin/marigoldward/control/feed/SharedDirectoryTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/feed/SharedDirectoryTest.kt
@@ -33,8 +33,8 @@
     DescribeSpec({
         describe("the list of upstreams that replicas share") {
             it("is read by the leader alone, however many followers there are") {
-                val leader = SharedDirectory(100)
-                val followers = List(6) { SharedDirectory(200L + it) }
+                val leader = SharedDirectory(100, clockId = 100)
+                val followers = List(6) { SharedDirectory(200L + it, clockId = 200L + it) }
                 val sentEditions = arrayOfNulls<Long>(followers.size)
                 var readingCount = 0
                 for (nowMillis in 1_000L..7_000L step 200) {
@@ -52,8 +52,8 @@
                 readingCount shouldBe 11
             }
             it("is sent in full once, then confirmed while it is unchanged") {
-                val leader = SharedDirectory(100)
-                val follower = SharedDirectory(200)
+                val leader = SharedDirectory(100, clockId = 100)
+                val follower = SharedDirectory(200, clockId = 200)
                 leader.recordReading(reading(1_000, "e1"))
                 val firstUpdate = leader.updateOrNull(null, 1_100).shouldNotBeNull()
                 follower.receive(firstUpdate, 1_150).shouldBeTrue()
@@ -67,8 +67,8 @@
                 names(follower) shouldBe listOf("e1", "e2")
             }
             it("is not confirmed by an update to a replica that missed the list") {
-                val leader = SharedDirectory(100)
-                val restarted = SharedDirectory(200)
+                val leader = SharedDirectory(100, clockId = 100)
+                val restarted = SharedDirectory(200, clockId = 200)
                 leader.recordReading(reading(1_000, "e1"))
                 val edition = leader.updateOrNull(null, 1_000)?.edition
                 restarted.receive(leader.updateOrNull(edition, 1_100).shouldNotBeNull(), 1_150).shouldBeFalse()
@@ -76,8 +76,8 @@
                 restarted.markReadStartedIfDue(Role.FOLLOWER, 1_200).shouldBeTrue()
             }
             it("is read by a follower without updates, which accepts the leader's list again once it is newer") {
-                val leader = SharedDirectory(100)
-                val follower = SharedDirectory(200)
+                val leader = SharedDirectory(100, clockId = 100)
+                val follower = SharedDirectory(200, clockId = 200)
                 leader.recordReading(reading(1_000, "e1"))
                 val update = leader.updateOrNull(null, 1_000).shouldNotBeNull()
                 follower.receive(update, 1_000)
@@ -90,8 +90,29 @@
                 follower.receive(leader.updateOrNull(update.edition, 2_500).shouldNotBeNull(), 2_500).shouldBeTrue()
                 names(follower) shouldBe listOf("e1", "e3")
             }
+            // Guards against a list that was under way for seconds and is taken for newer than one read meanwhile.
+            it("is not replaced by the leader's if that was sent before the follower read it and comes late") {
+                val leader = SharedDirectory(100, clockId = 100)
+                val follower = SharedDirectory(200, clockId = 200)
+                leader.recordReading(reading(1_000, "e1"))
+                val first = leader.updateOrNull(null, 1_000).shouldNotBeNull()
+                follower.receive(first, 1_005).shouldBeTrue()
+                leader.recordReading(reading(1_600, "e1", "old"))
+                val late = leader.updateOrNull(first.edition, 1_600).shouldNotBeNull()
+                follower.recordReading(reading(2_200, "e1", "new")).shouldBeTrue()
+                follower.receive(late, 4_000).shouldBeFalse()
+                names(follower) shouldBe listOf("e1", "new")
+            }
+            it("is dated by its arrival if it comes from a replica that doesn't tell when it sent it") {
+                val leader = SharedDirectory(100, clockId = 100)
+                val follower = SharedDirectory(200, clockId = 200)
+                leader.recordReading(reading(1_000, "e1"))
+                val update = leader.updateOrNull(null, 1_100).shouldNotBeNull().copy(sentAt = null)
+                follower.receive(update, 1_150).shouldBeTrue()
+                follower.readingOrNull?.readMillis shouldBe 1_050L
+            }
             it("is not read by an instance that is not a member") {
-                SharedDirectory(100).markReadStartedIfDue(Role.OUTSIDER, 60_000).shouldBeFalse()
+                SharedDirectory(100, clockId = 100).markReadStartedIfDue(Role.OUTSIDER, 60_000).shouldBeFalse()
             }
         }
     })
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/DirectoryOrderTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/DirectoryOrderTest.kt
@@ -24,9 +24,11 @@
 import marigoldward.gateway.TestDialect
 import marigoldward.support.bytes.Gzip
 import marigoldward.support.program.KeyFile
+import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.DirectorySnapshot
 import marigoldward.wire.feed.FeedRpc
 import marigoldward.wire.feed.FeedUpdate
+import marigoldward.wire.feed.SendingTime
 import marigoldward.wire.feed.WatchRequest
 import marigoldward.wire.rpc.ClusterAccess
 import marigoldward.wire.rpc.ClusterIdentity
@@ -112,6 +114,7 @@
         entryCount = 1,
         members = emptyList(),
         dataCentre = HERE,
+        sentAt = SendingTime(MonotonicClock.id, MonotonicClock.nowMillis()),
     )
 
     fun send(update: FeedUpdate) = stream.onNext(update)
@@ -140,6 +143,22 @@
 class DirectoryOrderTest :
     DescribeSpec({
         describe("a gateway that has read the list of upstreams itself") {
+            // Guards against a list that was under way for seconds and is taken for newer than one read meanwhile.
+            it("ignores an older one that a control instance sent before and that comes late") {
+                NamedUpstream("old").use { old ->
+                    NamedUpstream("new").use { new ->
+                        FollowingGateway(ownList = listOf(new.listed)).use { gateway ->
+                            gateway.send(gateway.update(listOf(old.listed.copy(slots = 5))))
+                            gateway.awaitAnsweredBy("old")
+                            val late = gateway.update(listOf(old.listed))
+                            gateway.awaitAnsweredBy("new")
+                            gateway.send(late)
+                            Thread.sleep(200)
+                            gateway.answeredBy() shouldBe "new"
+                        }
+                    }
+                }
+            }
             // Guards against "the list is unchanged" being taken for the gateway's list, which another process has sent.
             it("uses the list that a control instance refers to, although that was refused when it came") {
                 NamedUpstream("first").use { first ->
--- a/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
@@ -19,6 +19,7 @@
  * @property members the control instances that are members of the cluster
  * @property dataCentre the data centre of the sender
  * @property crashCounts the crashes under suspected requests, or null if they have not changed since the last update
+ * @property sentAt when the update was made, or null if it is from an instance that doesn't tell
  */
 @Serializable
 public data class FeedUpdate(
@@ -30,4 +31,5 @@
     val members: List<InstanceId>,
     val dataCentre: DataCentre,
     val crashCounts: CrashCounts? = null,
+    val sentAt: SendingTime? = null,
 )
