Forget the difference of two clocks soon after one of them stood still

Seen by entries: none yet, the dating of lists by their sender's clock is new. The monotonic clock of a suspended machine stands still, so that the difference to it grows by the time of the suspension. For one to two windows of a minute the lists of such an instance would have been dated as that much too old: entries would have refused them and read the directory themselves, once a second each.

A window of 5 s is enough: a receiver gives up an instance that is silent for a second, so a message of a followed one is not under way for longer. The test failed with the window of a minute (16,000 for 24,000).

--- a/support/src/main/kotlin/marigoldward/support/time/RemoteClocks.kt
+++ b/support/src/main/kotlin/marigoldward/support/time/RemoteClocks.kt
@@ -6,7 +6,8 @@
  * A message with the time at which it was sent bounds the difference of the two clocks: it can't have been received
  * before it was sent. The smallest of the recent differences is used, so that a message that was under way for long is
  * dated by those that were not. The first message of a clock is taken to have come at once. Only recent differences
- * count, because clocks drift.
+ * count, because clocks drift, and because a monotonic clock may stand still while its machine is suspended: messages of
+ * the next one to two windows are then dated as too old by the length of that time.
  *
  * Not thread-safe.
  */
@@ -48,7 +49,7 @@
     private companion object {
         const val MAX_CLOCKS = 16
 
-        /** Long beside the time for which a message may be under way, short beside the drift of a clock by a second. */
-        const val WINDOW_MILLIS = 60_000L
+        /** Several times the silence after which a receiver gives up a connection; bounds the effect of a suspension. */
+        const val WINDOW_MILLIS = 5_000L
     }
 }
--- a/support/src/test/kotlin/marigoldward/support/time/RemoteClocksTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/time/RemoteClocksTest.kt
@@ -30,6 +30,18 @@
                     (receivedMillis - localMillis <= 120) shouldBe true
                 }
             }
+            // Lists of a control instance whose machine had been suspended were taken for outdated for two minutes.
+            it("is right again ten seconds after the other machine was suspended") {
+                val clocks = RemoteClocks()
+                val suspendedMillis = 8_000L
+                (0L..5_000 step 500).forEach { clocks.toLocalMillis(1, it, it) }
+                val resumedMillis = 5_000 + suspendedMillis
+                (resumedMillis..resumedMillis + 10_500 step 500).forEach {
+                    clocks.toLocalMillis(1, it - suspendedMillis, it)
+                }
+                val receivedMillis = resumedMillis + 11_000
+                clocks.toLocalMillis(1, receivedMillis - suspendedMillis, receivedMillis) shouldBe receivedMillis
+            }
             it("is dated by the messages before a long silence") {
                 val clocks = RemoteClocks()
                 clocks.toLocalMillis(1, 0, 0)
