--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -70,6 +70,15 @@
             .help("How long ago the directory of upstreams was read")
             .register()
 
+    private val controlStateAgeSeconds: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_control_state_age_seconds")
+            .help("The greatest possible age of the state that the followed control instance has sent")
+            .register()
+
+    fun setControlStateAge(ageMillis: Long) = controlStateAgeSeconds.set(ageMillis / MILLIS_PER_SECOND)
+
     fun recordAttemptEnd(label: String) = attempts.labelValues(label).inc()
 
     fun recordRetryDecision(isTaken: Boolean) = retries.labelValues(if (isTaken) "taken" else "denied").inc()
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -2,6 +2,7 @@
 
 import io.grpc.stub.StreamObserver
 import marigoldward.core.model.InstanceId
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.GatewaySettings
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
@@ -30,6 +31,7 @@
     private var client: RpcClient? = null
     private var streamNumber = 0L
     private var wasFresh = false
+    private var lostMillis = MonotonicClock.nowMillis()
 
     /** Whether the known control state is fresh, as defined by [FeedSource.isFresh]. */
     val isFresh: Boolean get() = source.isFresh(MonotonicClock.nowMillis())
@@ -44,6 +46,7 @@
     fun maintain() {
         val nowMillis = MonotonicClock.nowMillis()
         logFreshnessChange(nowMillis)
+        source.stateAgeMillisOrNull(nowMillis)?.let(GatewayMetrics::setControlStateAge)
         source.selectNextOrNull(nowMillis)?.let(::follow)
     }
 
@@ -58,7 +61,10 @@
         val newClient = RpcClient.to(address, settings.cluster.identity)
         client = newClient
         streamNumber++
-        log.info("control_followed") { field("control", instance) }
+        log.info("control_followed") {
+            field("control", instance)
+            field("version", routesVersion())
+        }
         val request = WatchRequest(settings.id, routesVersion())
         newClient.openStream(FeedRpc.WATCH, request, UpdateObserver(instance, streamNumber))
     }
@@ -68,9 +74,19 @@
         if (isFresh == wasFresh) return
         wasFresh = isFresh
         if (isFresh) {
-            log.info("control_regained") { field("control", source.current) }
+            log.info("control_regained") {
+                field("control", source.current)
+                field("took_ms", nowMillis - lostMillis)
+                field("version", routesVersion())
+            }
         } else {
-            log.warn("control_lost") { field("control", source.current) }
+            lostMillis = nowMillis
+            log.warn("control_lost") {
+                field("control", source.current)
+                field("last_update_ms", source.updateAgeMillisOrNull(nowMillis))
+                field("state_age_ms", source.stateAgeMillisOrNull(nowMillis))
+                field("version", routesVersion())
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/FeedSource.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/FeedSource.kt
@@ -49,6 +49,12 @@
         if (instance == current) lastUpdateMillis = Long.MIN_VALUE / 2
     }
 
+    /** Returns the time since the last update of the current instance, or null if there was none on its stream. */
+    fun updateAgeMillisOrNull(nowMillis: Long): Long? = (nowMillis - lastUpdateMillis).takeIf { lastUpdateMillis > Long.MIN_VALUE / 2 }
+
+    /** Returns the greatest possible age of the state of the current instance, or null if it has sent none. */
+    fun stateAgeMillisOrNull(nowMillis: Long): Long? = (nowMillis - stateAsOfMillis).takeIf { lastUpdateMillis > Long.MIN_VALUE / 2 }
+
     /** Whether the last update of the current instance, and the state in it, are recent enough at [nowMillis]. */
     fun isFresh(nowMillis: Long): Boolean =
         nowMillis - lastUpdateMillis < MAX_FRESH_AGE_MILLIS && nowMillis - stateAsOfMillis < MAX_FRESH_AGE_MILLIS
