Apply the rest of an update whose configuration can't be read

An entry that is sent a damaged configuration kept its old list of upstreams, or had none and stayed unready, and the version that it lacked was shown nowhere.

Cause: the configuration was decompressed in the middle of the handling of an update, and a failure was thrown through it. The instance takes what it has sent for received, so the list of upstreams in the same update never came again.

Fix: RouteSelection decides on documents, and a damaged one is an outcome like one that is not understood: configuration_not_applied with the version in force, and the metric marigoldward_routes_version_unreadable. The version before stays in force and is never applied in part, as requests for routes left out would be refused. Before the first configuration the newest of those from outdated state is kept, not the last.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -57,6 +57,12 @@
     private val requestSeconds: Histogram = histogram("marigoldward_request_seconds", "Time to the end of an answer")
     val routesVersion: Gauge =
         Gauge.builder().name("marigoldward_routes_version").help("The configuration of routes in force").register()
+    val unreadableRoutesVersion: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_routes_version_unreadable")
+            .help("The newest configuration of routes that was sent and could not be read, or 0")
+            .register()
     val budgetSharers: Gauge =
         Gauge
             .builder()
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.util.concurrent.DefaultThreadFactory
-import marigoldward.core.Outcome
 import marigoldward.core.dispatch.BudgetSharers
 import marigoldward.core.dispatch.Dispatcher
 import marigoldward.core.dispatch.PlacementCosts
@@ -18,11 +17,11 @@
 import marigoldward.gateway.control.BudgetSharersLog
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
+import marigoldward.gateway.control.RouteSelection
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
-import marigoldward.support.bytes.Gzip
 import marigoldward.support.directory.DirectoryCache
 import marigoldward.support.directory.DirectoryDuty
 import marigoldward.support.directory.DirectoryReading
@@ -41,7 +40,7 @@
  */
 public class GatewayProgram private constructor(
     private val settings: GatewaySettings,
-    private val routeReader: RouteDocumentReader,
+    routeReader: RouteDocumentReader,
     directorySource: DirectorySource,
     dialect: Dialect,
 ) : AutoCloseable {
@@ -53,6 +52,7 @@
     private val crashes = CrashSuspicions()
     private val startedMillis = MonotonicClock.nowMillis()
     private val budgetSharers = BudgetSharers(settings.retryBudgetWindowMillis, startedMillis)
+    private val routeSelection = RouteSelection(routeReader, startedMillis)
     private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
     private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget) {
         budgetSharers.count(MonotonicClock.nowMillis())
@@ -69,9 +69,6 @@
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private var isShuttingDown = false
 
-    /** A configuration from a control instance whose state is not fresh, so that there may be a newer one. */
-    private var possiblyOutdated: RouteDocument? = null
-
     private val isReady: Boolean
         get() = !isShuttingDown && gateway.configuration != null && directoryBook.upstreams != null
 
@@ -118,9 +115,9 @@
         context.gatewayCount = maxOf(1, update.entryCount)
         budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
         logBudgetSharers(update.entryCount, isFresh)
-        update.routes?.let { considerConfiguration(it, isFresh) }
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
-        if (isFresh) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
+        update.routes?.let { onRoutesReceived(it, isFresh) }
+        if (isFresh) routeSelection.considerWaitingOrNull(isFresh, MonotonicClock.nowMillis())?.let(::apply)
         val ageMillis = update.directoryAgeMillis ?: return
         val readMillis = MonotonicClock.nowMillis() - ageMillis
         val snapshot = update.directory
@@ -136,43 +133,34 @@
         }
     }
 
-    /**
-     * Applies [document] if it is newer than the configuration in force. The first configuration must come from a
-     * control instance with fresh state, unless none was found within [FRESH_CONFIGURATION_TIMEOUT_MILLIS].
-     */
-    private fun considerConfiguration(document: RouteDocument, isFresh: Boolean) {
-        val current = gateway.configuration
-        val isWaitOver = MonotonicClock.nowMillis() - startedMillis > FRESH_CONFIGURATION_TIMEOUT_MILLIS
-        when {
-            current != null && document.version <= current.version -> Unit
-            current == null && !isFresh && !isWaitOver -> possiblyOutdated = document
-            else -> apply(document)
-        }
+    private fun onRoutesReceived(document: RouteDocument, isFresh: Boolean) {
+        routeSelection.considerOrNull(document, isFresh, MonotonicClock.nowMillis())?.let(::apply)
     }
 
-    private fun apply(document: RouteDocument) {
-        possiblyOutdated = null
-        when (val read = routeReader.read(Gzip.decompress(document.compressed))) {
-            is Outcome.Success -> {
-                gateway.configuration = read.value
-                GatewayMetrics.routesVersion.set(document.version.toDouble())
+    private fun apply(selection: RouteSelection.Selection) {
+        when (selection) {
+            is RouteSelection.Selection.Selected -> {
+                val configuration = selection.configuration
+                gateway.configuration = configuration
+                GatewayMetrics.routesVersion.set(configuration.version.toDouble())
                 log.info("configuration_applied") {
-                    field("version", document.version)
-                    field("routes", read.value.routes.size)
+                    field("version", configuration.version)
+                    field("routes", configuration.routes.size)
                 }
             }
-            is Outcome.Failure -> log.warn("configuration_not_applied") {
-                field("version", document.version)
-                field("problem", read.error.message)
+            is RouteSelection.Selection.Unreadable -> log.warn("configuration_not_applied") {
+                field("version", selection.version)
+                field("in_force", gateway.configuration?.version)
+                field("problem", selection.problem)
             }
         }
+        GatewayMetrics.unreadableRoutesVersion.set((routeSelection.unreadableVersion ?: 0).toDouble())
     }
 
     private fun checkDirectory() {
         val nowMillis = MonotonicClock.nowMillis()
         GatewayMetrics.directoryAgeSeconds.set((directoryBook.ageMillisOrNull(nowMillis) ?: 0) / MILLIS_PER_SECOND)
-        val isWaitOver = nowMillis - startedMillis > FRESH_CONFIGURATION_TIMEOUT_MILLIS
-        if (isWaitOver) possiblyOutdated?.let { considerConfiguration(it, isFresh = true) }
+        routeSelection.considerWaitingOrNull(isFresh = false, nowMillis)?.let(::apply)
         logBudgetSharers(reported = null, isFresh = false)
         if (gateway.configuration != null && directoryBook.markReadStartedIfDue(nowMillis)) directory.poll()
     }
@@ -219,9 +207,6 @@
         /** Upper bound of the random delay that keeps gateways from reading the list all at once when control fails. */
         private const val MAX_DIRECTORY_JITTER_MILLIS = 400L
 
-        /** How long a gateway without a configuration waits for one from a control instance with fresh state. */
-        private const val FRESH_CONFIGURATION_TIMEOUT_MILLIS = 3_000L
-
         private val log = EventLog.fromName("entry")
 
         /** Starts a gateway. */
