Find a control instance with fresh state in bounded time

What callers saw: requests were served by the version before a confirmed change for longer than the 2,000 ms after which the change has to be in force.

Cause: an entry that lost its control instance tried the others one after the other, 500 ms and more each, those followed longest ago first, so that addresses which never answer came before live ones. A refused or ended stream waited for the timer like a silent one, and the entry without another candidate never connected again. The time had no bound of its own. Trying an instance that might be closer had the same fault: the stream in use was closed first. An entry that started behind such addresses took an outdated first configuration after 3 s.

Why it works: the search begins when one heartbeat is missing, asks one instance and 100 ms later all others at the same time (at most 16), follows the first with fresh state and closes the others. The stream in use is closed only for a better one. Streams of instances with outdated state stay open, so that their next heartbeat ends the search; those that don't answer are replaced every second, as a lost connection may not recover in time. In steady state there is one stream, as before. A configuration is applied from whichever instance sends it.

Control counts an entry once it has had fresh state for 500 ms, as an entry that searches watches several instances for a moment, which would shrink the retry budgets for two windows.

--- a/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/EntryFeed.kt
@@ -49,7 +49,7 @@
             .build()
 
     /** Returns the number to send to the other replicas: the sum if this one leads, otherwise its own entries. */
-    fun entryCountToShare(): Int = synchronized(lock) { if (status().isLeader) totalEntryCount() else watchers.size }
+    fun entryCountToShare(): Int = synchronized(lock) { if (status().isLeader) totalEntryCount() else ownEntryCount() }
 
     /** Records [count], the number that [replica] has sent. */
     fun onEntryCount(replica: InstanceId, count: Int) {
@@ -140,12 +140,14 @@
     private fun updateFor(watcher: Watcher): FeedUpdate {
         val nowMillis = MonotonicClock.nowMillis()
         val current = status()
+        val staleMillis = nowMillis - current.lastUpToDateMillis
+        if (watcher.freshSinceMillis == null && staleMillis < MAX_FRESH_AGE_MILLIS) watcher.freshSinceMillis = nowMillis
         val reading = directory
         return FeedUpdate(
             routes = routes?.takeIf { it.version > watcher.routesVersion },
             directory = reading?.takeIf { it.upstreams != watcher.directory }?.let { DirectorySnapshot(it.upstreams) },
             directoryAgeMillis = reading?.let { nowMillis - it.readMillis },
-            maxStalenessMillis = nowMillis - current.lastUpToDateMillis,
+            maxStalenessMillis = staleMillis,
             entryCount = totalEntryCount(),
             members = current.members,
             dataCentre = dataCentre,
@@ -154,14 +156,25 @@
     }
 
     /**
-     * Returns the number of entries that watch any replica. A leader adds up recent numbers, a follower has the
+     * Returns the number of entries that follow this replica. An entry that looks for a replica with fresh state may
+     * watch several, and ends all but one when it has found one.
+     */
+    private fun ownEntryCount(): Int {
+        val nowMillis = MonotonicClock.nowMillis()
+        return watchers.count { watcher ->
+            watcher.freshSinceMillis?.let { nowMillis - it >= MIN_FOLLOWED_MILLIS } ?: false
+        }
+    }
+
+    /**
+     * Returns the number of entries that follow any replica. A leader adds up recent numbers, a follower has the
      * leader's.
      */
     private fun totalEntryCount(): Int {
         val current = status()
-        if (!current.isLeader) return remoteEntryCounts[current.leader]?.count ?: watchers.size
+        if (!current.isLeader) return remoteEntryCounts[current.leader]?.count ?: ownEntryCount()
         val oldestMillis = MonotonicClock.nowMillis() - MAX_ENTRY_COUNT_AGE_MILLIS
-        return watchers.size + remoteEntryCounts.values.filter { it.receivedMillis > oldestMillis }.sumOf { it.count }
+        return ownEntryCount() + remoteEntryCounts.values.filter { it.receivedMillis > oldestMillis }.sumOf { it.count }
     }
 
     private class Watcher(
@@ -171,11 +184,20 @@
     ) {
         var directory: List<ListedUpstream>? = null
         var crashVersion: Long? = null
+
+        /** When fresh state was first sent, in milliseconds of monotonic time, or null before. */
+        var freshSinceMillis: Long? = null
     }
 
     private companion object {
         /** The age up to which the number of another replica counts; several of its heartbeats. */
         const val MAX_ENTRY_COUNT_AGE_MILLIS = 3_000L
+
+        /** The age up to which an entry takes state for fresh. */
+        const val MAX_FRESH_AGE_MILLIS = 1_000L
+
+        /** The time within which an entry that was sent fresh state ends its watches of other replicas. */
+        const val MIN_FOLLOWED_MILLIS = 500L
         val log = EventLog.fromName("feed")
         val watcherCount: Gauge =
             Gauge
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -64,7 +64,14 @@
     private val metricsServer = StatusServer(loop, memory, ::metricsPage)
     private val directoryBook = newDirectoryCache()
     private val feed =
-        ControlFeed(settings, { loop.execute(it) }, { gateway.configuration?.version ?: 0 }, ::onFeedUpdate)
+        ControlFeed(
+            settings = settings,
+            runOnLoop = { loop.execute(loggedTask(it)) },
+            schedule = context::schedule,
+            routesVersion = { gateway.configuration?.version ?: 0 },
+            onRoutes = ::onRoutesReceived,
+            onUpdate = ::onFeedUpdate,
+        )
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private var isShuttingDown = false
@@ -83,6 +90,7 @@
     override fun close() {
         loop.execute { isShuttingDown = true }
         GracefulShutdown(loop, callerServer, gateway, settings.gracePeriodMillis).run()
+        loop.execute(feed::close)
     }
 
     private fun start() {
@@ -116,7 +124,6 @@
         budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
         logBudgetSharers(update.entryCount, isFresh)
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
-        update.routes?.let { onRoutesReceived(it, isFresh) }
         if (isFresh) routeSelection.considerWaitingOrNull(isFresh, MonotonicClock.nowMillis())?.let(::apply)
         val ageMillis = update.directoryAgeMillis ?: return
         val readMillis = MonotonicClock.nowMillis() - ageMillis
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
@@ -1,6 +1,8 @@
 package marigoldward.gateway.control
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import marigoldward.core.Outcome
 import marigoldward.core.flatMap
@@ -22,6 +24,8 @@
 import java.net.ServerSocket
 import java.net.Socket
 
+/** The time within which a change must be in force after its acknowledgement. */
+private const val APPLY_MILLIS = 2_000L
 private const val AWAIT_MILLIS = 15_000L
 
 /** Reads documents that consist of a version. */
@@ -116,8 +120,78 @@
     private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
 }
 
+private fun millisFor(action: () -> Unit): Long {
+    val startNanos = System.nanoTime()
+    action()
+    return (System.nanoTime() - startNanos) / 1_000_000
+}
+
 class RoutesInForceTest :
     DescribeSpec({
+        describe("a gateway whose control instance stops sending while a change is acknowledged") {
+            // Guards against a confirmed change in force too late because addresses that never answer are tried in turn.
+            for (silentCount in listOf(0, 2, 6)) {
+                it("has the change in force in time if $silentCount other addresses never answer") {
+                    Network().use { network ->
+                        repeat(silentCount) { network.silentAddress() }
+                        val controls = List(2) { network.control(document(1)) }
+                        network.startGateway()
+                        network.awaitVersion(1)
+                        val followed = network.awaitFollowed(controls)
+                        followed.stop()
+                        (controls - followed).single().put(document(2))
+                        millisFor { network.awaitVersion(2) } shouldBeLessThan APPLY_MILLIS
+                    }
+                }
+            }
+            it("has the change in force in time if another instance answers with outdated state and others refuse") {
+                Network().use { network ->
+                    repeat(4) { network.refusingAddress() }
+                    val outdated = network.control(document(1), staleMillis = 60_000)
+                    val controls = List(2) { network.control(document(1)) }
+                    network.startGateway()
+                    network.awaitVersion(1)
+                    val followed = network.awaitFollowed(controls + outdated)
+                    followed.stop()
+                    (controls - followed).single().put(document(2))
+                    millisFor { network.awaitVersion(2) } shouldBeLessThan APPLY_MILLIS
+                }
+            }
+        }
+        describe("a gateway that follows a control instance") {
+            // Guards against further streams in steady state, which cost processor time and bytes.
+            it("has no stream of another") {
+                Network().use { network ->
+                    val controls = List(3) { network.control(document(1)) }
+                    network.startGateway()
+                    network.awaitVersion(1)
+                    network.awaitFollowed(controls)
+                    val watchCount = controls.sumOf { it.watchCount }
+                    Thread.sleep(2_500)
+                    controls.sumOf { it.watchCount } shouldBe watchCount
+                    controls.sumOf { it.openCount } shouldBe 1
+                }
+            }
+        }
+        describe("a gateway that starts") {
+            // Guards against an outdated first configuration, taken because addresses that never answer came first.
+            it("takes no outdated configuration if an instance with fresh state is reachable") {
+                Network().use { network ->
+                    network.control(document(1), staleMillis = 60_000)
+                    repeat(7) { network.silentAddress() }
+                    network.control(document(2))
+                    network.startGateway()
+                    network.awaitVersion(2) shouldNotContain 1L
+                }
+            }
+            it("takes the newest of the outdated configurations if no instance has fresh state") {
+                Network().use { network ->
+                    listOf(3L, 5L, 4L).forEach { network.control(document(it), staleMillis = 60_000) }
+                    network.startGateway()
+                    network.awaitVersion(5).toSet() shouldBe setOf(0L, 5L)
+                }
+            }
+        }
         describe("a gateway that is sent a configuration that it can't read") {
             // Guards against a damaged configuration that takes the list of upstreams in the same update with it.
             it("applies the rest of the update, and the next configuration") {
