--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -57,6 +57,12 @@
     private val requestSeconds: Histogram = histogram("marigoldward_request_seconds", "Time to the end of an answer")
     val routesVersion: Gauge =
         Gauge.builder().name("marigoldward_routes_version").help("The configuration of routes in force").register()
+    val unreadableRoutesVersion: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_routes_version_unreadable")
+            .help("The newest configuration of routes that was sent and could not be read, or 0")
+            .register()
     val budgetSharers: Gauge =
         Gauge
             .builder()
@@ -70,6 +76,15 @@
             .help("How long ago the directory of upstreams was read")
             .register()
 
+    private val controlStateAgeSeconds: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_control_state_age_seconds")
+            .help("The greatest possible age of the state that the followed control instance has sent")
+            .register()
+
+    fun setControlStateAge(ageMillis: Long) = controlStateAgeSeconds.set(ageMillis / MILLIS_PER_SECOND)
+
     fun recordAttemptEnd(label: String) = attempts.labelValues(label).inc()
 
     fun recordRetryDecision(isTaken: Boolean) = retries.labelValues(if (isTaken) "taken" else "denied").inc()
