--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -30,7 +30,6 @@
 import marigoldward.support.time.TimerService
 import marigoldward.wire.control.SubmitReply
 import marigoldward.wire.peer.DirectoryUpdate
-import marigoldward.wire.peer.JoinReply
 import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.rpc.RpcServer
 import java.net.InetSocketAddress
@@ -65,9 +64,7 @@
     @Volatile
     private var seeds = cluster.seedInstances
 
-    /** The last reply that named a leader; used while this instance is not a member. */
-    @Volatile
-    private var lastJoinReply: JoinReply? = null
+    private val joinReplies = JoinReplies(settings.ip)
 
     /** Stores and reads the route configurations of operators. */
     public val routes: RouteStore = RouteStore(replicaThread, reader)
@@ -82,7 +79,7 @@
 
     /** The instance that leads, as far as this one knows, or null. */
     public val leader: InstanceId?
-        get() = replica.status.leader ?: lastJoinReply?.leader
+        get() = replica.status.leader ?: joinReplies.leaderOrNull
 
     /** Replaces the seeds, which this instance asks to join while it is not a member. */
     public fun changeSeeds(seeds: List<InstanceId>) {
@@ -155,13 +152,12 @@
         val current = replica.status
         val stalenessMillis = MonotonicClock.nowMillis() - current.lastUpToDateMillis
         if (current.isMember && stalenessMillis < LEADER_SILENCE_TIMEOUT_MILLIS) {
-            lastJoinReply = null
+            joinReplies.clear()
             return
         }
-        val peers = (seeds + current.members + lastJoinReply?.members.orEmpty()).distinct()
-        links.announce(store.replica, settings.dataCentre, peers) { reply ->
-            if (reply.leader != null) lastJoinReply = reply
-        }
+        val peers = (seeds + current.members + joinReplies.members).distinct()
+        joinReplies.recordAnnouncement(current.isMember, stalenessMillis, peers)
+        links.announce(store.replica, settings.dataCentre, peers, joinReplies::recordReply)
     }
 
     private inner class PeerState : SharedStateSource {
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
@@ -36,14 +36,19 @@
         linkOrNull(to.name)?.send(from, to, message)
     }
 
-    /** Announces to [peers] that [replica] waits to be added as a member. [onReply] is called with each reply. */
+    /**
+     * Announces to [peers] that [replica] waits to be added as a member. [onReply] is called with each reply and its
+     * sender.
+     */
     fun announce(
         replica: ReplicaId,
         dataCentre: DataCentre?,
         peers: Collection<InstanceId>,
-        onReply: (JoinReply) -> Unit = {},
+        onReply: (InstanceId, JoinReply) -> Unit = { _, _ -> },
     ) {
-        peers.forEach { linkOrNull(it)?.announce(JoinAnnouncement(replica, dataCentre), onReply) }
+        peers.forEach { peer ->
+            linkOrNull(peer)?.announce(JoinAnnouncement(replica, dataCentre)) { reply -> onReply(peer, reply) }
+        }
     }
 
     override fun close() {
--- a/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/PendingRequest.kt
@@ -3,11 +3,18 @@
 import marigoldward.core.control.ControlOutcome
 import marigoldward.core.model.InstanceId
 import marigoldward.core.replication.ReplicaRefusal
+import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.control.LeaseReply
 import marigoldward.wire.control.SubmitReply
 
-/** A request that waits for the log or for a quorum. One of the functions is called once, when its result is known. */
+/**
+ * A request that waits for the log or for a quorum. One of the functions other than [onAccepted] is called once, when
+ * its result is known.
+ */
 internal sealed interface PendingRequest {
+    /** The entry of the request was appended to the log at [index]. Its result is not known yet. */
+    fun onAccepted(index: Long) = Unit
+
     /** The entry of the request is committed. Applying it gave [outcome]. */
     fun onCommitted(outcome: ControlOutcome)
 
@@ -71,14 +78,22 @@
         override fun onConfirmed() = answer(ifLeader())
     }
 
-    /** A change of the members that this replica makes as the leader. Nobody waits for its result. */
-    data object AutomaticMemberChange : PendingRequest {
-        override fun onCommitted(outcome: ControlOutcome) = Unit
+    /** A change of the members that this replica makes as the leader. Its result is only logged. */
+    class AutomaticMemberChange(
+        private val decision: MembershipLog.Decision,
+        private val membershipLog: MembershipLog,
+    ) : PendingRequest {
+        override fun onAccepted(index: Long) = membershipLog.onAccepted(decision, index)
+
+        override fun onCommitted(outcome: ControlOutcome) = end("committed")
+
+        override fun onRefused(refusal: ReplicaRefusal) =
+            membershipLog.onRefused(decision, refusal, MonotonicClock.nowMillis())
 
-        override fun onRefused(refusal: ReplicaRefusal) = Unit
+        override fun onUnknown() = end("leadership_lost")
 
-        override fun onUnknown() = Unit
+        override fun onRolledBack(reason: String) = end(reason)
 
-        override fun onRolledBack(reason: String) = Unit
+        private fun end(outcome: String) = membershipLog.onEnded(decision, outcome, MonotonicClock.nowMillis())
     }
 }
--- a/control/src/main/kotlin/marigoldward/control/replica/PendingRequests.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/PendingRequests.kt
@@ -21,6 +21,7 @@
     /** Records that the entry of request [id] was appended to the log at [index]. */
     fun onAccepted(id: Long, index: Long) {
         idByIndex = idByIndex.put(index, id)
+        requests[id]?.onAccepted(index)
     }
 
     /** Completes the request whose entry is at log [index], if it is one of this process. */
--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
@@ -59,7 +59,8 @@
     /** Whether the log on disk may differ from that of the replica, as a write has failed and was not rolled back whole. */
     private var isLogOutdated = false
     private val pending = PendingRequests()
-    private val requestHandler = RequestHandler(pending, planner) { controlState }
+    private val membershipLog = MembershipLog()
+    private val requestHandler = RequestHandler(pending, planner, membershipLog) { controlState }
 
     /** The status as of the last batch; may be read by any thread. */
     @Volatile
@@ -85,6 +86,7 @@
             }
         }
         if (persist(actions, before.log)) {
+            if (replica.log.members != before.log.members) membershipLog.onMembersKnown(replica)
             actions.forEach(::execute)
             takeSnapshotIfDue()
         } else {
@@ -199,6 +201,9 @@
         appliedIndex = entry.index
         val payload = entry.payload
         if (payload !is EntryPayload.Command) {
+            if (payload is EntryPayload.MembersChange) {
+                membershipLog.onMembersCommitted(replica, payload.members, entry.index)
+            }
             pending.onCommitted(entry.index, ControlOutcome.Done)
             return
         }
--- a/control/src/main/kotlin/marigoldward/control/replica/RequestHandler.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/RequestHandler.kt
@@ -24,11 +24,13 @@
  * Turns the events of the replica's thread into events of the replica, and keeps the expiry times of leases.
  *
  * @param planner plans the changes of members, or null if operators request them
+ * @param membershipLog logs the changes of members and the replicas that wait to join
  * @param controlState returns the control state as of the newest applied entry
  */
 internal class RequestHandler(
     private val pending: PendingRequests,
     private val planner: MembershipPlanner?,
+    private val membershipLog: MembershipLog,
     private val controlState: () -> ControlState,
 ) {
     private var leases = LeaseTable.forNewLeader(LeaseTiming.DEFAULT, MonotonicClock.nowMillis())
@@ -42,7 +44,7 @@
             ReplicaDutyEvent.Tick -> tick(view, nowMillis)
             ReplicaDutyEvent.Resign -> listOf(RequestedEvent(ReplicaEvent.Resign, null))
             is ReplicaDutyEvent.Received -> onReceived(event, view)
-            is ReplicaDutyEvent.JoinAnnounced -> onJoinAnnounced(event, nowMillis)
+            is ReplicaDutyEvent.JoinAnnounced -> onJoinAnnounced(event, view, nowMillis)
             is ReplicaDutyEvent.Submit -> submit(event)
             is ReplicaDutyEvent.Replace -> replace(event, view, nowMillis)
             is ReplicaDutyEvent.RequestLease -> requestLease(event, view, nowMillis)
@@ -70,29 +72,39 @@
         val next = if (view.replica.isLeader) nextChangeOrNull(view, nowMillis) else null
         val tick = RequestedEvent(ReplicaEvent.Tick, null)
         if (next == null) return listOf(tick)
-        val requestId = pending.add(PendingRequest.AutomaticMemberChange)
+        val decision = MembershipLog.Decision(next, view.replica, recentlyJoining(nowMillis), nowMillis)
+        val requestId = pending.add(PendingRequest.AutomaticMemberChange(decision, membershipLog))
         return listOf(tick, RequestedEvent(ReplicaEvent.ChangeMembers(requestId, next), requestId))
     }
 
     private fun nextChangeOrNull(view: ReplicaView, nowMillis: Long): MemberChange? {
         if (planner == null) return Replacement.nextStepOrNull(view.replica.log.members)
         if (view.replica.log.membersIndex > view.replica.commitIndex) return null
-        val recent = announcements.values.filter { nowMillis - it.announcedMillis < ANNOUNCEMENT_TIMEOUT_MILLIS }
-        val joining = recent.mapNotNull { announcement ->
-            announcement.dataCentre?.let { MembershipPlanner.JoiningReplica(announcement.replica, it) }
-        }
         val dataCentres = announcements.values.mapNotNull { announcement ->
             announcement.dataCentre?.let { announcement.replica.name to it }
         }
-        return planner.nextChangeOrNull(view.replica, joining, dataCentres.toMap(), nowMillis)
+        return planner.nextChangeOrNull(view.replica, recentlyJoining(nowMillis), dataCentres.toMap(), nowMillis)
     }
 
+    private fun recentlyJoining(nowMillis: Long): List<MembershipPlanner.JoiningReplica> =
+        announcements.values.filter { isRecent(it, nowMillis) }.mapNotNull { announcement ->
+            announcement.dataCentre?.let { MembershipPlanner.JoiningReplica(announcement.replica, it) }
+        }
+
     private fun onReceived(event: ReplicaDutyEvent.Received, view: ReplicaView): List<RequestedEvent> {
         if (event.to != view.replica.self) return emptyList()
         return listOf(RequestedEvent(ReplicaEvent.Received(event.from, event.message), null))
     }
 
-    private fun onJoinAnnounced(event: ReplicaDutyEvent.JoinAnnounced, nowMillis: Long): List<RequestedEvent> {
+    private fun onJoinAnnounced(
+        event: ReplicaDutyEvent.JoinAnnounced,
+        view: ReplicaView,
+        nowMillis: Long,
+    ): List<RequestedEvent> {
+        val known = announcements[event.replica.name]
+        if (known == null || known.replica != event.replica || !isRecent(known, nowMillis)) {
+            membershipLog.onJoinReceived(view.replica, event.replica, event.dataCentre)
+        }
         announcements = announcements.put(event.replica.name, Announcement(event.replica, event.dataCentre, nowMillis))
         return emptyList()
     }
@@ -173,7 +185,10 @@
     }
 
     private fun joiningReplicas(nowMillis: Long): List<ReplicaId> =
-        announcements.values.filter { nowMillis - it.announcedMillis < ANNOUNCEMENT_TIMEOUT_MILLIS }.map { it.replica }
+        announcements.values.filter { isRecent(it, nowMillis) }.map { it.replica }
+
+    private fun isRecent(announcement: Announcement, nowMillis: Long): Boolean =
+        nowMillis - announcement.announcedMillis < ANNOUNCEMENT_TIMEOUT_MILLIS
 
     private companion object {
         const val ANNOUNCEMENT_TIMEOUT_MILLIS = 5_000L
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -1,8 +1,13 @@
 package marigoldward.control.cluster
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
+import marigoldward.control.LogCapture
 import marigoldward.control.routes.RouteReadResult
 import marigoldward.control.routes.RouteStoreResult
 import marigoldward.control.stages.EngineControl
@@ -114,7 +119,7 @@
         root.toFile().deleteRecursively()
     }
 
-    private fun ip(number: Int): String = "127.0.77.$number"
+    fun ip(number: Int): String = "127.0.77.$number"
 
     private fun <T : Any> await(attempt: () -> T?): T {
         val endMillis = System.nanoTime() / 1_000_000 + WAIT_MILLIS
@@ -211,4 +216,50 @@
                 }
             }
         }
+        // A whole replacement left no line, so that nobody could tell why a change was lost beside one.
+        describe("the log of a replacement") {
+            it("tells on each instance who was replaced by whom, and why") {
+                LogCapture("membership").use { log ->
+                    Cluster().use { cluster ->
+                        (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                        cluster.store("5 five") shouldBe RouteStoreResult.Stored(5)
+                        val leader = cluster.leader()
+                        val replaced = (1..3).first { it != leader }
+                        cluster.stop(replaced)
+                        cluster.start(4, isFirstStart = false)
+                        Thread.sleep(CATCH_UP_MILLIS)
+                        val newId = cluster.ip(4) + "#"
+                        val oldId = cluster.ip(replaced) + "#1"
+                        expectLeaderLines(log, cluster.ip(leader), newId, oldId)
+                        expectJoinerLines(log, cluster.ip(4), cluster.ip(leader))
+                        cluster.start(replaced, isFirstStart = false)
+                        Thread.sleep(CATCH_UP_MILLIS + 2_000)
+                        val self = "self=${cluster.ip(replaced)} "
+                        log.linesWith("event=join_announced", self, "reason=no_leader").shouldNotBeEmpty()
+                        log.linesWith("event=join_answered", self, "self_listed=false").shouldNotBeEmpty()
+                    }
+                }
+            }
+        }
     })
+
+private fun expectLeaderLines(log: LogCapture, leaderIp: String, newId: String, oldId: String) {
+    val self = "self=$leaderIp#1 "
+    log.linesWith("event=join_received", self, "replica=$newId").size shouldBe 1
+    listOf("add_learner" to newId, "promote" to newId, "remove" to oldId).forEach { (change, id) ->
+        log.linesWith("event=member_change_started", self, "change=$change replica=$id").size shouldBe 1
+        val ended = log.linesWith("event=member_change_ended", self, "change=$change replica=$id")
+        ended.single() shouldContain "outcome=committed"
+    }
+    val started = log.linesWith("event=member_change_started", self, "change=add_learner").single()
+    val silentMillis = Regex("silent_ms=\\S*$oldId:(\\d+)").find(started)?.groupValues?.get(1)
+    silentMillis.shouldNotBeNull().toLong() shouldBeGreaterThanOrEqual CATCH_UP_MILLIS / 2
+}
+
+private fun expectJoinerLines(log: LogCapture, ip: String, leaderIp: String) {
+    log.linesWith("event=join_announced", "self=$ip ", "reason=no_member").shouldNotBeEmpty()
+    log.linesWith("event=join_answered", "self=$ip ", "leader=$leaderIp ").shouldNotBeEmpty()
+    listOf("learner", "voter").forEach { role ->
+        log.linesWith("event=members_committed", "self=$ip#", "own_role=$role").shouldNotBeEmpty()
+    }
+}
