Promote the replacement of a silent voter before the voter is removed

Seen by operators: none of the control instances answers any more, for good: reads and changes get 503, and what was acknowledged can't be read back, although only one disk was lost.

Cause: a voter that was silent for half of catch_up_s, also one that was only frozen or cut off and still has its disk, was removed first; its replacement was promoted by a second change. In between two voters were left. The loss of the disk of one of them ended the quorum, and the frozen one, which could have made up for it, was no member any more. Class of fault: a repair gives up what it still has before it has the substitute.

The replacement is promoted first, so each state has a quorum that includes the voter that may come back; the removal of one of four voters needs no learner, as three tolerate as many failures. A new incarnation of a voter still takes the place of the old one by removal first: that disk is gone. The schedule also reads: no leader, frozen ones and replaced ones included, returned less than was committed when the read was sent.

--- a/core/src/main/kotlin/marigoldward/core/replication/Members.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/Members.kt
@@ -17,6 +17,9 @@
     /** The number of voters that form a quorum. */
     val quorumSize: Int get() = voters.size / 2 + 1
 
+    /** Whether the cluster tolerates as many failures with one voter less, as their number is even. */
+    val toleratesRemoval: Boolean get() = voters.size > 2 && voters.size % 2 == 0
+
     /** Returns whether [ids] contains a quorum of the voters. */
     public fun isQuorum(ids: Set<ReplicaId>): Boolean = voters.count { it in ids } >= quorumSize
 
--- a/core/src/main/kotlin/marigoldward/core/replication/MembershipPlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/MembershipPlanner.kt
@@ -7,7 +7,8 @@
  * Plans the changes of members that a leader makes without an operator.
  *
  * - A replica that lost its disk is replaced by its new incarnation.
- * - A voter that hasn't replied for [replaceAfterMillis] is replaced by a joining replica, if there is one.
+ * - A voter that hasn't replied for [replaceAfterMillis] is replaced by a joining replica, if there is one. It is
+ *   removed only once the other one votes: it may come back with its disk, and until then each disk of a quorum counts.
  * - Joining replicas are added until there are [targetVoters] voters.
  *
  * The planner doesn't check whether a change is safe: [Replica.step] refuses changes that put the quorum at risk.
@@ -36,15 +37,23 @@
         val members = state.log.members
         val learner = members.learners.firstOrNull()
         val silentVoters = members.voters.filter { isSilent(state.self, role, it, nowMillis) }
-        return if (learner == null) {
-            replicaToAddOrNull(members, joining, silentVoters, dataCentres)?.let(MemberChange::AddLearner)
-        } else {
-            val isLearnerLost =
-                isSilent(state.self, role, learner, nowMillis) || hasOtherIncarnation(learner, joining)
-            nextLearnerChange(members, learner, silentVoters, isLearnerLost)
+        return when {
+            learner != null -> {
+                val isLearnerLost =
+                    isSilent(state.self, role, learner, nowMillis) || hasOtherIncarnation(learner, joining)
+                nextLearnerChange(members, learner, silentVoters, isLearnerLost)
+            }
+            hasVoterTooMany(members) -> longestSilentVoterOrNull(members, role)?.let(MemberChange::Remove)
+            else -> replicaToAddOrNull(members, joining, silentVoters, dataCentres)?.let(MemberChange::AddLearner)
         }
     }
 
+    private fun hasVoterTooMany(members: Members): Boolean =
+        members.voters.size > targetVoters && members.toleratesRemoval
+
+    private fun longestSilentVoterOrNull(members: Members, role: ReplicaRole.Leader): ReplicaId? =
+        role.progress.filterKeys { it in members.voters }.minByOrNull { it.value.lastReplyMillis }?.key
+
     private fun nextLearnerChange(
         members: Members,
         learner: ReplicaId,
@@ -56,8 +65,9 @@
             isLearnerLost -> MemberChange.Remove(learner)
             oldIncarnation != null -> MemberChange.Remove(oldIncarnation)
             members.voters.size < targetVoters -> MemberChange.Promote(learner)
-            silentVoters.isNotEmpty() -> MemberChange.Remove(silentVoters.first())
-            else -> MemberChange.Remove(learner)
+            silentVoters.isEmpty() -> MemberChange.Remove(learner)
+            hasVoterTooMany(members) -> MemberChange.Remove(silentVoters.first())
+            else -> MemberChange.Promote(learner)
         }
     }
 
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/MembershipChanges.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/MembershipChanges.kt
@@ -81,8 +81,9 @@
         return when {
             otherLearner != null && replica in live ->
                 ReplicaRefusal.ChangeInProgress("$otherLearner is still a learner")
-            replacement == null -> ReplicaRefusal.UnsafeChange("there is no learner to replace $replica")
-            !isCaughtUp(state, role, replacement, nowMillis) ->
+            replacement == null && !members.toleratesRemoval ->
+                ReplicaRefusal.UnsafeChange("there is no learner to replace $replica")
+            replacement != null && !isCaughtUp(state, role, replacement, nowMillis) ->
                 ReplicaRefusal.UnsafeChange("$replacement has not caught up")
             remaining.voters.isEmpty() -> ReplicaRefusal.UnsafeChange("$replica is the last voter")
             !remaining.isQuorum(live) ->
--- a/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/MembershipPlannerTest.kt
@@ -77,6 +77,32 @@
                 PLANNER.nextChangeOrNull(longSilence, listOf(joiningReplica("d")), emptyMap(), NOW_MILLIS) shouldBe
                     MemberChange.AddLearner(id("d"))
             }
+            // The loss of another disk between a removal and the promotion after it ended the quorum for good.
+            it("removes a silent voter only once its replacement votes") {
+                val members = threeVoters.copy(learners = setOf(id("d")))
+                val silent = mapOf(id("c") to 0L)
+                PLANNER.nextChangeOrNull(leader(members, silent), emptyList(), emptyMap(), NOW_MILLIS) shouldBe
+                    MemberChange.Promote(id("d"))
+                val fourVoters = Members(threeVoters.voters + id("d"))
+                PLANNER.nextChangeOrNull(leader(fourVoters, silent), emptyList(), emptyMap(), NOW_MILLIS) shouldBe
+                    MemberChange.Remove(id("c"))
+            }
+            it("removes the voter that was silent for longest if there is one too many, and a joining one waits") {
+                val fourVoters = Members(threeVoters.voters + id("d"))
+                val replies = mapOf(id("b") to NOW_MILLIS - 50, id("c") to NOW_MILLIS - 100)
+                PLANNER.nextChangeOrNull(
+                    leader(fourVoters, replies),
+                    listOf(joiningReplica("e")),
+                    emptyMap(),
+                    NOW_MILLIS,
+                ) shouldBe
+                    MemberChange.Remove(id("c"))
+            }
+            it("leaves an odd number of voters as it is, also if it is higher than intended") {
+                val fiveVoters = Members(threeVoters.voters + id("d") + id("e"))
+                PLANNER.nextChangeOrNull(leader(fiveVoters, emptyMap()), emptyList(), emptyMap(), NOW_MILLIS)
+                    .shouldBeNull()
+            }
             it("prefers a joining replica in the data centre with the fewest voters") {
                 val longSilence = leader(threeVoters, mapOf(id("c") to 0))
                 val dataCentres = mapOf(id("a").name to WEST, id("b").name to WEST)
--- a/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
@@ -32,6 +32,8 @@
         initialMembers.voters.associate { it.name to ScheduledReplica(it, initialMembers, this, rules) }
     private val inFlight = ArrayList<Envelope>()
     private var isolated: InstanceId? = null
+    private var frozen = emptySet<InstanceId>()
+    private var lastDiskLossMillis: Long? = null
     private var nowMillis = 0L
     private var nextId = 1L
     private var nextIncarnation = 2L
@@ -40,8 +42,10 @@
     private val leadersByTerm = HashMap<Long, ReplicaId>()
     private val attemptsByKey = HashMap<String, String>()
     private var highestRevision = HashMap<ReplicaId, Revision>()
+    private var newestRevision = Revision.NONE
     private var highestToken = FencingToken.NONE
     private val heldLeases = HashMap<InstanceId, HeldLease>()
+    private val readFloors = HashMap<Long, ReadFloor>()
     private val renewalRequests = HashMap<Long, LeaseRequest>()
     private val grantRequests = HashMap<Long, LeaseRequest>()
 
@@ -52,12 +56,19 @@
         val dueMillis: Long,
     )
 
+    /** What a read that was sent at a time must return at least. */
+    private data class ReadFloor(val index: Long, val revision: Revision)
+
     private data class LeaseRequest(val holder: InstanceId, val token: FencingToken, val requestedMillis: Long)
 
     /** The number of committed entries. A schedule without any would check nothing. */
     val committedCount: Int get() = entriesByIndex.size
 
     fun run() {
+        if (rules.overlapsLosses) {
+            val spare = ReplicaId(InstanceId.parse("spare"), 1)
+            replicas = replicas + (spare.name to ScheduledReplica(spare, Members(emptySet()), this, rules))
+        }
         replicas.values.forEach { it.start(nowMillis, random.nextLong()) }
         repeat(rules.steps) { runStep() }
     }
@@ -69,6 +80,8 @@
      */
     fun recover() {
         isolated = null
+        frozen = emptySet()
+        replicas.values.filter { !it.isUp }.forEach { it.start(nowMillis, random.nextLong()) }
         val countBefore = entriesByIndex.size
         repeat(RECOVERY_STEPS) {
             nowMillis += RECOVERY_STEP_MILLIS
@@ -98,7 +111,7 @@
 
     private fun runStep() {
         nowMillis += random.nextLong(1, 20)
-        replicas.values.filter { it.isUp }.forEach { send(it, it.handle(ReplicaEvent.Tick, nowMillis)) }
+        runningReplicas().forEach { send(it, it.handle(ReplicaEvent.Tick, nowMillis)) }
         deliverDueMessages()
         val draw = random.nextInt(1000)
         when {
@@ -107,9 +120,79 @@
             draw < 350 -> isolated = if (isolated == null) replicas.keys.random(random) else null
             draw < 362 -> restartReplica()
             draw < 366 -> if (rules.wipesDisks) wipeDisk()
-            draw < 400 -> replicas.values.filter { it.isUp }.randomOrNull(random)?.takeSnapshot(nowMillis)
+            draw < 400 -> runningReplicas().randomOrNull(random)?.takeSnapshot(nowMillis)
             draw < 460 -> if (rules.usesMembershipPlanner) changeMembersAsPlanned() else replaceAsOperator()
             draw < 463 -> if (rules.usesMembershipPlanner) replacePermanently()
+            rules.overlapsLosses -> overlapLosses(draw)
+        }
+    }
+
+    private fun overlapLosses(draw: Int) {
+        when {
+            draw < 469 -> freeze()
+            draw < 476 -> frozen = emptySet()
+            draw < 480 -> takeDown()
+            draw < 488 -> bringBack()
+            draw < 494 -> loseOneDisk()
+            draw < 560 -> read()
+        }
+    }
+
+    private fun runningReplicas(): List<ScheduledReplica> = replicas.values.filter { it.isUp && it.id.name !in frozen }
+
+    private fun freeze() {
+        val running = runningReplicas()
+        if (running.size <= replicas.size - MAX_ABSENT) return
+        frozen = frozen + running.random(random).id.name
+    }
+
+    private fun takeDown() {
+        val running = runningReplicas()
+        if (running.size <= replicas.size - MAX_ABSENT) return
+        running.random(random).stop()
+    }
+
+    private fun bringBack() {
+        replicas.values.filter { !it.isUp }.randomOrNull(random)?.start(nowMillis, random.nextLong())
+    }
+
+    /** Clears the disk of a random replica, if each disk that was lost before has been replaced for a while. */
+    private fun loseOneDisk() {
+        if (!isLossTolerated()) return
+        lastDiskLossMillis = nowMillis
+        val name = replicas.keys.random(random)
+        frozen = frozen - name
+        val newReplica = ScheduledReplica(ReplicaId(name, nextIncarnation++), Members(emptySet()), this, rules)
+        replicas = replicas + (name to newReplica)
+        newReplica.start(nowMillis, random.nextLong())
+    }
+
+    private fun isLossTolerated(): Boolean {
+        val lastMillis = lastDiskLossMillis ?: return true
+        val leader = replicas.values.filter { it.isUp && it.state.isLeader }.maxByOrNull { it.state.hardState.term }
+        val state = leader?.state ?: return false
+        val members = state.log.members
+        val areDisksKept = members.all.all { replicas[it.name]?.id == it } && members.voters.size >= instances.size
+        return areDisksKept && state.log.membersIndex <= state.commitIndex && nowMillis - lastMillis > CATCH_UP_MILLIS
+    }
+
+    /** Lets a leader answer a read, which must see what was committed anywhere when it was sent. */
+    private fun read() {
+        val leader = randomLeaderOrNull() ?: return
+        val id = nextId++
+        readFloors[id] = ReadFloor(entriesByIndex.keys.maxOrNull() ?: 0, newestRevision)
+        if (rules.readsWithoutQuorum) {
+            checkRead(leader, id)
+        } else {
+            send(leader, leader.handle(ReplicaEvent.ConfirmLeadership(id), nowMillis))
+        }
+    }
+
+    private fun checkRead(replica: ScheduledReplica, requestId: Long) {
+        val floor = readFloors.remove(requestId) ?: return
+        check(replica.state.commitIndex >= floor.index && replica.control.revision >= floor.revision) {
+            "seed $seed: ${replica.id} reads ${replica.control.revision} at entry ${replica.state.commitIndex}, but " +
+                "$floor was committed before"
         }
     }
 
@@ -119,7 +202,8 @@
         due.shuffled(random).forEach { envelope ->
             val recipient = replicas[envelope.to.name] ?: return@forEach
             val isBlocked = isolated == envelope.from.name || isolated == envelope.to.name
-            if (isBlocked || !recipient.isUp || recipient.id != envelope.to) return@forEach
+            val isAbsent = !recipient.isUp || envelope.to.name in frozen
+            if (isBlocked || isAbsent || recipient.id != envelope.to) return@forEach
             send(recipient, recipient.handle(ReplicaEvent.Received(envelope.from, envelope.message), nowMillis))
         }
     }
@@ -140,7 +224,7 @@
 
     /** Returns one of the replicas that consider themselves leaders, or null if there is none. */
     private fun randomLeaderOrNull(): ScheduledReplica? =
-        replicas.values.filter { it.isUp && it.state.isLeader }.randomOrNull(random)
+        runningReplicas().filter { it.state.isLeader }.randomOrNull(random)
 
     private fun proposeRandomCommand() {
         val leader = randomLeaderOrNull() ?: return
@@ -184,7 +268,7 @@
     }
 
     private fun restartReplica() {
-        val replica = replicas.values.filter { it.isUp }.randomOrNull(random) ?: return
+        val replica = runningReplicas().randomOrNull(random) ?: return
         replica.stop()
         replica.start(nowMillis, random.nextLong())
     }
@@ -222,7 +306,7 @@
         val leader = randomLeaderOrNull() ?: return
         val members = leader.state.log.members
         if (leader.state.log.membersIndex > leader.state.commitIndex) return
-        val newReplicas = replicas.values.filter { it.isUp && it.id !in members.all && it.id.name != isolated }
+        val newReplicas = runningReplicas().filter { it.id !in members.all && it.id.name != isolated }
         val joining = newReplicas.map { MembershipPlanner.JoiningReplica(it.id, DATA_CENTRE) }
         val change = PLANNER.nextChangeOrNull(leader.state, joining, emptyMap(), nowMillis) ?: return
         send(leader, leader.handle(ReplicaEvent.ChangeMembers(nextId++, change), nowMillis))
@@ -259,6 +343,7 @@
         check(state.revision >= previous.revision) {
             "seed $seed: revision fell from ${previous.revision} to ${state.revision}"
         }
+        newestRevision = maxOf(newestRevision, state.revision)
         checkClaim(entry, outcome)
         checkGrant(entry, outcome, isFirst = earlier == null)
     }
@@ -281,6 +366,7 @@
     }
 
     override fun onLeadershipConfirmed(replica: ScheduledReplica, requestId: Long) {
+        checkRead(replica, requestId)
         val request = renewalRequests.remove(requestId) ?: return
         val record = replica.control.leases[SCOPE] ?: return
         if (record.token != request.token) return
@@ -310,6 +396,12 @@
 
         /** Replaces a voter that has been silent for two election timeouts. */
         val PLANNER = MembershipPlanner(targetVoters = 3, replaceAfterMillis = 600)
+
+        /** How many replicas are frozen or down at most. */
+        const val MAX_ABSENT = 2
+
+        /** The time within which a lost disk must be replaced. */
+        const val CATCH_UP_MILLIS = 1_500L
         const val RECOVERY_STEPS = 400
         const val RECOVERY_STEP_MILLIS = 10L
         val SCOPE = LeaseScope.forEngines(SiteName.parse("site"), DataCentre.parse("dc"))
--- a/core/src/test/kotlin/marigoldward/core/replication/ReplicaScheduleTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplicaScheduleTest.kt
@@ -6,7 +6,9 @@
 
 private const val SEEDS = 1_500L
 private const val PLANNER_SEEDS = 2_000L
+private const val OVERLAP_SEEDS = 1_000L
 private const val BUG_SEEDS = 400L
+private val OVERLAPPING = ScheduleRules(usesMembershipPlanner = true, overlapsLosses = true)
 
 /** Returns the message of the first violated invariant, or null if no seed violates one. */
 private fun firstViolationOrNull(rules: ScheduleRules): String? = (1..BUG_SEEDS).firstNotNullOfOrNull { seed ->
@@ -39,7 +41,23 @@
                 firstViolationOrNull(rules).shouldNotBeNull()
             }
         }
+        // Guards against committed entries that are gone, or read in an older state, beside replacements and freezes.
+        describe("replicas with a spare one, of which some are frozen or down while a disk is lost") {
+            it("keep committed entries, read no older state, and make progress once all are back") {
+                val committed = (1..OVERLAP_SEEDS).sumOf { seed ->
+                    ReplicaSchedule(seed, OVERLAPPING)
+                        .apply {
+                            run()
+                            recover()
+                        }.committedCount
+                }
+                committed shouldBeGreaterThan (OVERLAP_SEEDS * 50).toInt()
+            }
+        }
         describe("the invariant checks") {
+            it("detect a read by a leader that doesn't ask the others") {
+                firstViolationOrNull(OVERLAPPING.copy(readsWithoutQuorum = true)).shouldNotBeNull()
+            }
             it("detect a replica that votes under its old identity after losing its disk") {
                 firstViolationOrNull(ScheduleRules(keepsIncarnationAfterWipe = true)).shouldNotBeNull()
             }
