Redirect operators from an instance that is no member to the leader

Seen by operators: an instance that waits to join, or that was replaced, answers offers and reads with 503 and names no leader. The operator backs off and tries another one.

Cause: the replica's own state was the only source for the leader's name, though each reply to its announcements holds it. Class of fault: a process that knows only at second hand is treated as one that knows nothing.

The route store uses the leader that the others have named in the last two seconds, if the replica knows none. A reply also tells the term of its sender now, so that one of an instance that was cut off doesn't replace a newer leader; earlier builds send 0, and the last of their replies counts. An instance doesn't pass on in its own replies what it only heard.

Evidence: the test in ClusterTest failed without the use of the replies: NotLeader(leader=null) where the first leader was expected; it passes, also after another leader was elected.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -67,7 +67,7 @@
     private val joinReplies = JoinReplies(settings.ip)
 
     /** Stores and reads the route configurations of operators. */
-    public val routes: RouteStore = RouteStore(replicaThread, reader)
+    public val routes: RouteStore = RouteStore(replicaThread, reader, ::leader)
 
     private val peers = PeerService(::hasAddress, replicaThread, { replica.status }, ::onEnvelope)
     private val server =
@@ -79,7 +79,7 @@
 
     /** The instance that leads, as far as this one knows, or null. */
     public val leader: InstanceId?
-        get() = replica.status.leader ?: joinReplies.leaderOrNull
+        get() = replica.status.leader ?: joinReplies.leaderOrNull(MonotonicClock.nowMillis())
 
     /** Replaces the seeds, which this instance asks to join while it is not a member. */
     public fun changeSeeds(seeds: List<InstanceId>) {
@@ -157,7 +157,9 @@
         }
         val peers = (seeds + current.members + joinReplies.members).distinct()
         joinReplies.recordAnnouncement(current.isMember, stalenessMillis, peers)
-        links.announce(store.replica, settings.dataCentre, peers, joinReplies::recordReply)
+        links.announce(store.replica, settings.dataCentre, peers) { sender, reply ->
+            joinReplies.recordReply(sender, reply, MonotonicClock.nowMillis())
+        }
     }
 
     private inner class PeerState : SharedStateSource {
--- a/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerService.kt
@@ -43,7 +43,7 @@
         val event = ReplicaDutyEvent.JoinAnnounced(announcement.replica, announcement.dataCentre)
         val isAccepted = accepts(announcement.replica.name) && replica.offer(event)
         val current = status()
-        return JoinReply(isAccepted, current.leader, current.members)
+        return JoinReply(isAccepted, current.leader, current.members, current.term)
     }
 
     private fun deliver(envelope: PeerEnvelope): Acknowledgement {
--- a/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/ReplicaDuty.kt
@@ -102,6 +102,7 @@
         return PublishedStatus(
             leader = replica.leaderOrNull?.name,
             isLeader = replica.isLeader,
+            term = replica.hardState.term,
             members = replica.log.members.all.map { it.name },
             isMember = replica.self in replica.log.members.all,
             lastUpToDateMillis = nowMillis - replica.maxStalenessMillis(nowMillis),
--- a/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlOutcome
+import marigoldward.core.model.InstanceId
 import marigoldward.core.routes.RouteDocument
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.support.bytes.Gzip
@@ -16,10 +17,16 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
-/** Stores and reads the route configurations of operators through the replica. Every call waits for its answer. */
+/**
+ * Stores and reads the route configurations of operators through the replica. Every call waits for its answer.
+ *
+ * @param presumedLeader returns the leader as this instance knows it from others, or null; used when the replica, which
+ * may not be a member yet, knows none
+ */
 public class RouteStore internal constructor(
     private val replica: Duty<ReplicaDutyEvent>,
     private val reader: RouteDocumentReader,
+    private val presumedLeader: () -> InstanceId?,
 ) {
     /** Validates the configuration [content] and puts it in force if its version is the highest. */
     public fun store(content: ByteArray): RouteStoreResult {
@@ -43,7 +50,7 @@
         if (!replica.offer(ReplicaDutyEvent.ReadRoutes(answer::complete))) return RouteReadResult.Unknown
         return when (val read = await(answer)) {
             null -> RouteReadResult.Unknown
-            is RoutesReply.NotLeader -> RouteReadResult.NotLeader(read.leader)
+            is RoutesReply.NotLeader -> RouteReadResult.NotLeader(read.leader ?: presumedLeader())
             is RoutesReply.Current ->
                 RouteReadResult.Current(read.document?.let { Gzip.decompress(it.compressed) })
         }
@@ -59,7 +66,7 @@
             null -> RouteStoreResult.Unknown("no answer within $ANSWER_TIMEOUT_MILLIS ms")
             SubmitReply.Unknown -> RouteStoreResult.Unknown("leadership was lost meanwhile")
             is SubmitReply.Refused -> RouteStoreResult.Unknown(reply.reason)
-            is SubmitReply.NotLeader -> RouteStoreResult.NotLeader(reply.leader)
+            is SubmitReply.NotLeader -> RouteStoreResult.NotLeader(reply.leader ?: presumedLeader())
             is SubmitReply.Committed -> toResult(reply.outcome)
         }
     }
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -109,6 +109,11 @@
         }
     }
 
+    fun storeAt(number: Int, document: String): RouteStoreResult =
+        running.getValue(number).routes.store(document.toByteArray())
+
+    fun readAt(number: Int): RouteReadResult = running.getValue(number).routes.read()
+
     /** Reads the configuration from the first instance that confirms it. */
     fun read(): String? = await {
         running.values.map { it.routes.read() }.filterIsInstance<RouteReadResult.Current>().firstOrNull()
@@ -119,6 +124,8 @@
         root.toFile().deleteRecursively()
     }
 
+    fun id(number: Int): InstanceId = InstanceId.parse(ip(number))
+
     fun ip(number: Int): String = "127.0.77.$number"
 
     private fun <T : Any> await(attempt: () -> T?): T {
@@ -216,7 +223,24 @@
                 }
             }
         }
-        // A whole replacement left no line, so that nobody could tell why a change was lost beside one.
+        // Operators got a 503 and backed off whenever they asked an instance that waits to join.
+        describe("an instance that is no member") {
+            it("names the leader to operators, also after another has taken over") {
+                Cluster().use { cluster ->
+                    (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                    cluster.start(4, isFirstStart = false)
+                    cluster.store("5 five") shouldBe RouteStoreResult.Stored(5)
+                    val first = cluster.leader()
+                    cluster.storeAt(4, "6 six") shouldBe RouteStoreResult.NotLeader(cluster.id(first))
+                    cluster.readAt(4) shouldBe RouteReadResult.NotLeader(cluster.id(first))
+                    cluster.stop(first)
+                    cluster.store("7 seven") shouldBe RouteStoreResult.Stored(7)
+                    val next = cluster.leader()
+                    cluster.storeAt(4, "8 eight") shouldBe RouteStoreResult.NotLeader(cluster.id(next))
+                }
+            }
+        }
+        // A whole replacement left no line, so nobody could tell why a change was lost beside one.
         describe("the log of a replacement") {
             it("tells on each instance who was replaced by whom, and why") {
                 LogCapture("membership").use { log ->
