Compare the content of configurations, not their compressed bytes

Seen by operators: an acknowledged configuration that is sent again would be refused with 409, if the instance that leads now compresses with another version of zlib than the one that acknowledged it (another build, another kind of processor).

Cause: equality of configurations was equality of their gzip bytes. Class of fault: two encodings of a value are taken for two values. Evidence: RouteDocumentsTest with the same content compressed at two levels failed: RoutesVersionTaken(5) instead of RoutesSuperseded(5); it passes. The outcome doesn't change the stored state, so instances of earlier builds stay in step.

--- a/core/src/main/kotlin/marigoldward/core/control/internal/RouteDocuments.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/RouteDocuments.kt
@@ -13,7 +13,7 @@
         return when {
             current == null || offered.version > current.version ->
                 AppliedCommand(state.copy(routes = offered), ControlOutcome.RoutesStored(offered.version))
-            offered.version < current.version || offered == current ->
+            offered.version < current.version || offered.hasSameContentAs(current) ->
                 AppliedCommand(state, ControlOutcome.RoutesSuperseded(current.version))
             else -> AppliedCommand(state, ControlOutcome.RoutesVersionTaken(current.version))
         }
--- a/core/src/main/kotlin/marigoldward/core/routes/RouteDocument.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/RouteDocument.kt
@@ -1,6 +1,9 @@
 package marigoldward.core.routes
 
 import kotlinx.serialization.Serializable
+import java.io.ByteArrayInputStream
+import java.io.IOException
+import java.util.zip.GZIPInputStream
 
 /**
  * A route configuration as it was submitted by an operator.
@@ -16,6 +19,22 @@
 
     override fun hashCode(): Int = compressed.contentHashCode() * HASH_FACTOR + version.hashCode()
 
+    /**
+     * Whether [other] has the same version and the same submitted bytes. These may have been compressed by different
+     * versions of the compressor, whose results differ.
+     */
+    public fun hasSameContentAs(other: RouteDocument): Boolean {
+        if (version != other.version || compressed.contentEquals(other.compressed)) return this == other
+        val content = decompressedOrNull() ?: return false
+        return content.contentEquals(other.decompressedOrNull())
+    }
+
+    private fun decompressedOrNull(): ByteArray? = try {
+        GZIPInputStream(ByteArrayInputStream(compressed)).use { it.readBytes() }
+    } catch (_: IOException) {
+        null
+    }
+
     /** Returns the version and the compressed size. */
     override fun toString(): String = "RouteDocument(version=$version, bytes=${compressed.size})"
 
