Limit the time for which a connection to another process is attempted

Seen by nobody yet, found by the review: an entry that looks for control opens up to 16 streams a second. A thread connects each, and waits for an address that drops packets (a cut, a machine that was removed) for as long as the operating system tries, about two minutes, even after the client was closed. Class of fault: a wait without a limit of its own.

SilentAddressTest, an address whose queue of connections is full: no end within 10 s before; within 5 s with the limit of 3 s. How many threads pile up in an entry that is cut off was read, not run.

--- a/wire/src/main/kotlin/marigoldward/wire/rpc/RpcClient.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/RpcClient.kt
@@ -57,6 +57,7 @@
 
     public companion object {
         private const val KEEP_ALIVE_SECONDS = 3L
+        private const val CONNECT_TIMEOUT_MILLIS = 3_000
 
         /** Returns a client of the process at [address]; it connects at the first call. */
         public fun to(address: InetSocketAddress, identity: ClusterIdentity): RpcClient {
@@ -66,6 +67,7 @@
                     .maxInboundMessageSize(RpcLimits.MAX_MESSAGE_BYTES)
                     .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
                     .keepAliveTimeout(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+                    .socketFactory(TimedSocketFactory(CONNECT_TIMEOUT_MILLIS))
                     .disableRetry()
                     .build()
             return RpcClient(managedChannel, identity)
