Let the directory decide on a leaving upstream after a time without lists

Seen by callers: requests would be refused for good although the upstreams are there. An upstream that had announced that it leaves and started again under the same id and address, while the entry could read no list, was kept out until the entry started again. Found by the review.

Cause: a new start was recognised only by signs that have to be observed while it happens (cold again, absent for a second). Class of fault: the lack of an observation is taken for one. After 5 s without a list the next list decides; an upstream that is still leaving says so again in its next answer.

LeavingUpstreamsTest "may have started again while no list was read" failed before. Two cases had gaps of 7 and 55 s between lists by accident; they now apply lists without such gaps, one of them 56 in place of 2.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
@@ -10,12 +10,15 @@
  * An announcement is final for the start of the upstream that made it, since a list that names the upstream as ready may
  * be older than the announcement, whatever its age. A start is identified by id and address. A directory that keeps both
  * shows a new start in one of two ways: the upstream is cold again, or it was absent for [MIN_ABSENCE_MILLIS]. A shorter
- * absence may be an entry that was left out because the list changed while its pages were read.
+ * absence may be an entry that was left out because the list changed while its pages were read. If no list was read for
+ * [MIN_UNOBSERVED_MILLIS], a new start may have gone unseen, and the next list decides. One that is still leaving says so
+ * again in its next answer.
  *
  * Has no clock of its own and is not thread-safe. Times are in milliseconds of monotonic time.
  */
 public class LeavingUpstreams {
     private var announcements: PersistentMap<UpstreamId, Announcement> = persistentMapOf()
+    private var lastReadMillis: Long? = null
 
     /**
      * @property isWarm whether the upstream was last listed as warm
@@ -61,7 +64,9 @@
      * that hasn't changed since is applied again at the time at which it was read again.
      */
     public fun apply(list: List<ListedUpstream>, readMillis: Long): AppliedList {
-        val newStarts = list.filter { isNewStart(it, readMillis) }
+        val unobservedMillis = lastReadMillis?.let { readMillis - it } ?: 0
+        lastReadMillis = readMillis
+        val newStarts = list.filter { isNewStart(it, readMillis, unobservedMillis) }
         newStarts.forEach { announcements = announcements.remove(it.id) }
         recordAbsent(list, readMillis)
         val left = list.filter { it.isLeaving && it !in this }
@@ -73,10 +78,14 @@
     private fun announcement(upstream: ListedUpstream, nowMillis: Long) =
         Announcement(upstream.address, nowMillis, isWarm = !upstream.isCold, absentSinceMillis = null)
 
-    private fun isNewStart(listed: ListedUpstream, readMillis: Long): Boolean {
+    private fun isNewStart(listed: ListedUpstream, readMillis: Long, unobservedMillis: Long): Boolean {
         val known = announcements[listed.id] ?: return false
-        if (listed.address != known.address) return true
-        return readMillis > known.announcedMillis && listed.isCold && known.isWarm
+        val knownForMillis = readMillis - known.announcedMillis
+        return when {
+            listed.address != known.address -> true
+            knownForMillis > 0 && listed.isCold && known.isWarm -> true
+            else -> minOf(unobservedMillis, knownForMillis) >= MIN_UNOBSERVED_MILLIS && !listed.isLeaving
+        }
     }
 
     /** Records which upstreams [list] doesn't name, and forgets those that have been absent for long enough. */
@@ -99,5 +108,8 @@
     private companion object {
         /** Longer than the time between two readings of the directory. */
         const val MIN_ABSENCE_MILLIS = 1_000L
+
+        /** The shortest time in which an upstream that is leaving may have ended and started again. */
+        const val MIN_UNOBSERVED_MILLIS = 5_000L
     }
 }
--- a/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
@@ -29,7 +29,7 @@
             it("stays leaving, whatever lists say, however old they are") {
                 val leaving = LeavingUpstreams()
                 leaving.recordAnswer(READY, 1_000) shouldBe true
-                listOf(200L, 900, 1_000, 1_001, 5_000, 60_000).forEach { readMillis ->
+                (listOf(200L, 900, 1_000, 1_001) + (5_000L..60_000 step 1_000)).forEach { readMillis ->
                     leaving.isLeavingAfter(listOf(READY, OTHER), readMillis) shouldBe true
                 }
                 leaving.apply(listOf(READY, OTHER), 61_000).upstreams shouldBe
@@ -76,9 +76,25 @@
                 val leaving = LeavingUpstreams()
                 leaving.recordAnswer(READY, 1_000)
                 leaving.apply(listOf(OTHER), 1_600)
-                leaving.isLeavingAfter(listOf(READY, OTHER), 9_000) shouldBe true
-                leaving.apply(listOf(OTHER), 9_600)
-                leaving.isLeavingAfter(listOf(READY, OTHER), 10_200) shouldBe true
+                leaving.isLeavingAfter(listOf(READY, OTHER), 6_500) shouldBe true
+                leaving.apply(listOf(OTHER), 7_100)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 7_700) shouldBe true
+            }
+            // Guards against an upstream that is kept out for ever because it started again while no list could be read.
+            it("may have started again while no list was read, if the next one names it as ready") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY, OTHER), 900)
+                leaving.recordAnswer(READY, 1_000)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 5_800) shouldBe true
+                leaving.isLeavingAfter(listOf(READY, OTHER), 10_800) shouldBe false
+            }
+            it("is still leaving after a time without lists if it announced it a moment ago, or if the next one says so") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY, OTHER), 1_000)
+                leaving.recordAnswer(READY, 15_000)
+                leaving.isLeavingAfter(listOf(READY, OTHER), 16_000) shouldBe true
+                leaving.isLeavingAfter(listOf(READY.copy(isLeaving = true), OTHER), 30_000) shouldBe true
+                leaving.isLeavingAfter(listOf(READY, OTHER), 31_000) shouldBe true
             }
             it("has not started again if it is absent only from lists that were read before the answer") {
                 val leaving = LeavingUpstreams()
