Keep a readable configuration when a newer one can't be read at the start

Seen by callers: an entry that starts stays unready, although it was sent a configuration that it can read. One from an outdated instance waited; when one of a fresh instance could not be read, the waiting one was dropped, and instances don't send it again. Found by the review; mixed builds only.

RouteSelectionTest: 2 cases failed before, both "takes an older one".

--- a/gateway/src/main/kotlin/marigoldward/gateway/control/RouteSelection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/RouteSelection.kt
@@ -48,25 +48,31 @@
                 possiblyOutdated = newer(possiblyOutdated, document)
                 null
             }
-            else -> read(newer(possiblyOutdated, document))
+            else -> {
+                val waiting = possiblyOutdated
+                val newest = newer(waiting, document)
+                read(newest, older = if (newest === document) waiting else document)
+            }
         }
     }
 
     /** Returns what came of the document that waits, or null if there is none or it has to wait on. */
     fun considerWaitingOrNull(isFresh: Boolean, nowMillis: Long): Selection? =
-        possiblyOutdated?.takeIf { isFresh || isWaitOver(nowMillis) }?.let(::read)
+        possiblyOutdated?.takeIf { isFresh || isWaitOver(nowMillis) }?.let { read(it, older = null) }
 
     private fun isWaitOver(nowMillis: Long): Boolean = nowMillis - startedMillis > FRESH_CONFIGURATION_TIMEOUT_MILLIS
 
     private fun newer(first: RouteDocument?, second: RouteDocument): RouteDocument =
         first?.takeIf { it.version > second.version } ?: second
 
-    private fun read(document: RouteDocument): Selection {
-        possiblyOutdated = null
-        return when (val read = decompress(document)) {
+    /** Reads [document]. If that fails and there is no configuration in force, [older] waits in its place. */
+    private fun read(document: RouteDocument, older: RouteDocument?): Selection {
+        val selection = when (val read = decompress(document)) {
             is Outcome.Success -> select(document, read.value)
             is Outcome.Failure -> unreadable(document, read.error)
         }
+        possiblyOutdated = older.takeIf { versionInForce == null }
+        return selection
     }
 
     private fun select(document: RouteDocument, content: ByteArray): Selection =
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/RouteSelectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/RouteSelectionTest.kt
@@ -83,6 +83,22 @@
                     selection.considerOrNull(document(2), isFresh = true, 20).version shouldBe 2
                     selection.unreadableVersion.shouldBeNull()
                 }
+                // Guards against an entry that never gets ready though it was sent a configuration that it can read.
+                it("takes an older one that waited, if there is none in force") {
+                    val selection = RouteSelection(READER, startedMillis = 0)
+                    selection.considerOrNull(document(5), isFresh = false, 10).shouldBeNull()
+                    selection.considerOrNull(document(6, "damaged"), isFresh = true, 20)
+                        .shouldBeInstanceOf<RouteSelection.Selection.Unreadable>()
+                    selection.considerWaitingOrNull(isFresh = true, 20).version shouldBe 5
+                    selection.considerWaitingOrNull(isFresh = true, 30).shouldBeNull()
+                }
+                it("takes an older one that comes later, if there is none in force") {
+                    val selection = RouteSelection(READER, startedMillis = 0)
+                    selection.considerOrNull(document(6, "damaged"), isFresh = false, 10).shouldBeNull()
+                    selection.considerOrNull(document(5), isFresh = true, 20)
+                        .shouldBeInstanceOf<RouteSelection.Selection.Unreadable>()
+                    selection.considerWaitingOrNull(isFresh = true, 20).version shouldBe 5
+                }
                 it("shows the version until one as new is in force") {
                     val selection = RouteSelection(READER, startedMillis = 0)
                     selection.considerOrNull(document(3, "damaged"), isFresh = true, 10)
