Let the schedule with a spare replica lose a disk only after the one before is replaced

Trace: at 5,303 ms the disk of spare#2 was lost, a voter in the newest members; at 8,141 ms that of b#1, with spare#2 still a member. The condition for the second loss was read from b itself, which was frozen and still considered itself the leader of term 1, with members from before, while the others were in term 2. Two lost disks at once are beyond what three voters tolerate, and the same rule is meant for all losses of the schedule.

--- a/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplicaSchedule.kt
@@ -169,7 +169,9 @@
 
     private fun isLossTolerated(): Boolean {
         val lastMillis = lastDiskLossMillis ?: return true
-        val leader = replicas.values.filter { it.isUp && it.state.isLeader }.maxByOrNull { it.state.hardState.term }
+        // A frozen leader of an earlier term doesn't know of replacements that are still under way.
+        val newestTerm = replicas.values.maxOf { it.state.hardState.term }
+        val leader = replicas.values.firstOrNull { it.state.isLeader && it.state.hardState.term == newestTerm }
         val state = leader?.state ?: return false
         val members = state.log.members
         val areDisksKept = members.all.all { replicas[it.name]?.id == it } && members.voters.size >= instances.size
