--- a/control/src/test/kotlin/marigoldward/control/feed/EntryFeedTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/feed/EntryFeedTest.kt
@@ -60,15 +60,14 @@
         server.close()
     }
 
-    private fun status() =
-        PublishedStatus(
-            leader = SELF,
-            isLeader = true,
-            term = 1,
-            members = listOf(SELF),
-            isMember = true,
-            lastUpToDateMillis = MonotonicClock.nowMillis() - staleMillis,
-        )
+    private fun status() = PublishedStatus(
+        leader = SELF,
+        isLeader = true,
+        term = 1,
+        members = listOf(SELF),
+        isMember = true,
+        lastUpToDateMillis = MonotonicClock.nowMillis() - staleMillis,
+    )
 }
 
 class EntryFeedTest :
--- a/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
@@ -88,7 +88,7 @@
                 leaving.isLeavingAfter(listOf(READY, OTHER), 5_800) shouldBe true
                 leaving.isLeavingAfter(listOf(READY, OTHER), 10_800) shouldBe false
             }
-            it("is still leaving after a time without lists if it announced it a moment ago, or if the next one says so") {
+            it("is still leaving after a time without lists if the next one says so, or its answer is recent") {
                 val leaving = LeavingUpstreams()
                 leaving.apply(listOf(READY, OTHER), 1_000)
                 leaving.recordAnswer(READY, 15_000)
