Let an entry wait for its addresses for the grace period of its predecessor

Callers saw an entry that ended with exit code 1 when it was started while its predecessor still answered requests in its grace period.

Cause: an address was waited for 5 s, a grace period may be longer.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -29,6 +29,7 @@
 import marigoldward.support.directory.DirectorySource
 import marigoldward.support.log.EventLog
 import marigoldward.support.metrics.MetricsPage
+import marigoldward.support.program.ListenAddress
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
 import java.net.InetSocketAddress
@@ -69,6 +70,9 @@
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private var isShuttingDown = false
 
+    @Volatile
+    private var seeds = settings.cluster.seedInstances
+
     /** A configuration from a control instance whose state is not fresh, so that there may be a newer one. */
     private var possiblyOutdated: RouteDocument? = null
 
@@ -76,7 +80,12 @@
         get() = !isShuttingDown && gateway.configuration != null && directoryBook.upstreams != null
 
     /** Replaces the seed control instances. */
-    public fun changeSeeds(seeds: List<InstanceId>): Unit = loop.execute { feed.changeSeeds(seeds) }
+    public fun changeSeeds(seeds: List<InstanceId>) {
+        if (seeds == this.seeds) return
+        log.info("seeds_changed") { field("seeds", seeds.joinToString(",")) }
+        this.seeds = seeds
+        loop.execute { feed.changeSeeds(seeds) }
+    }
 
     /**
      * Shuts down without interrupting requests. Reports that the gateway is not ready and closes each connection after
@@ -91,9 +100,11 @@
     private fun start() {
         crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
-        readinessServer.start(settings.readinessListenAddress)
-        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort))
-        callerServer.start(settings.callerListenAddress)
+        // The gateway that this one replaces may be in its grace period.
+        val maxWaitMillis = settings.gracePeriodMillis + ListenAddress.MAX_WAIT_MILLIS
+        readinessServer.start(settings.readinessListenAddress, maxWaitMillis)
+        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort), maxWaitMillis)
+        callerServer.start(settings.callerListenAddress, maxWaitMillis)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
         scheduleRepeatedly(DIRECTORY_CHECK_INTERVAL_MILLIS, ::checkDirectory)
         scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired { dispatcher.recordOrNull(it) != null } }
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -44,8 +44,8 @@
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
 
-    /** Starts to listen at [address]; returns when the address is bound. */
-    fun start(address: InetSocketAddress) {
+    /** Starts to listen at [address]; returns when the address is bound, for which it waits for [maxWaitMillis]. */
+    fun start(address: InetSocketAddress, maxWaitMillis: Long = ListenAddress.MAX_WAIT_MILLIS) {
         val bootstrap =
             ServerBootstrap()
                 .group(loop)
@@ -55,7 +55,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
-        listenChannel = ListenAddress.bindWhenFree { bootstrap.bind(address).sync().channel() }
+        listenChannel = ListenAddress.bindWhenFree(maxWaitMillis) { bootstrap.bind(address).sync().channel() }
     }
 
     /** Accepts no more connections. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
@@ -13,8 +13,8 @@
 
     private val server = CallerServer(loop, { CallerLimits.DEFAULT }, memory, ::respond)
 
-    /** Starts to listen at [address]; returns when the address is bound. */
-    fun start(address: InetSocketAddress) = server.start(address)
+    /** Starts to listen at [address]; returns when the address is bound, for which it waits for [maxWaitMillis]. */
+    fun start(address: InetSocketAddress, maxWaitMillis: Long) = server.start(address, maxWaitMillis)
 
     private fun respond(exchange: CallerExchange) {
         val page = currentPage()
--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -112,7 +112,7 @@
     }
 
     private class RunningServer(private val server: Undertow) : Http4kServer {
-        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree(server::start) }
+        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree { server.start() } }
 
         override fun stop(): Http4kServer = apply { server.stop() }
 
