Repeat the first start of a control instance that was cut short or refused by its disk

Operators saw no cluster, or an instance that never starts, if a first start was cut short or its disk refused a write.

Causes: a folder with any file in it was not taken for that of a first start, so the instance became a replica that nobody knows; an IOException while the folder was opened left its lock, which later attempts took for that of another process; and an instance whose files were damaged at a first start became the same voter again, without its votes and entries. Class: a passing state of the surroundings is taken for a permanent one.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
@@ -6,8 +6,8 @@
 import marigoldward.core.Outcome
 import marigoldward.core.replication.ReplicaId
 import marigoldward.support.log.EventLog
+import marigoldward.support.time.MonotonicClock
 import java.io.IOException
-import java.nio.file.Files
 import java.security.SecureRandom
 
 /** Opens the data folder of a control instance whose cluster changes its members without an operator. */
@@ -18,45 +18,65 @@
 
     /** Opens the folder. Tries again until it succeeds. */
     fun open(settings: ClusterSettings): ReplicaStore {
+        val startMillis = MonotonicClock.nowMillis()
+        var loggedProblem: String? = null
+        var isCleared = false
         while (true) {
-            openOrNull(settings)?.let { return it }
-            Thread.sleep(RETRY_MILLIS)
+            when (val opened = tryOpen(settings, mayInitialise = settings.isFirstStart && !isCleared)) {
+                is Outcome.Success -> {
+                    if (loggedProblem != null) {
+                        log.info("data_folder_usable") { field("waited_ms", MonotonicClock.nowMillis() - startMillis) }
+                    }
+                    return opened.value
+                }
+                is Outcome.Failure -> {
+                    val problem = opened.error
+                    if (problem.text != loggedProblem) logWait(settings, problem, startMillis)
+                    loggedProblem = problem.text
+                    // The next attempt gives the emptied folder to a new replica.
+                    isCleared = isCleared || problem.isCleared
+                    if (!problem.isCleared) Thread.sleep(RETRY_MILLIS)
+                }
+            }
         }
     }
 
-    private fun openOrNull(settings: ClusterSettings): ReplicaStore? = try {
-        initialiseIfFirstStart(settings)
+    /** Why the folder can't be used; [isCleared] if its files were damaged and have been deleted. */
+    private data class Problem(val text: String, val isCleared: Boolean)
+
+    private fun logWait(settings: ClusterSettings, problem: Problem, startMillis: Long) =
+        log.warn("data_folder_unusable") {
+            field("folder", settings.dataFolder)
+            field("problem", problem.text)
+            field("cleared", problem.isCleared)
+            field("waited_ms", MonotonicClock.nowMillis() - startMillis)
+        }
+
+    private fun tryOpen(settings: ClusterSettings, mayInitialise: Boolean): Outcome<ReplicaStore, Problem> = try {
+        if (mayInitialise) initialiseIfUnused(settings)
         val newReplica = ReplicaId(settings.ip, SecureRandom().nextLong(FIRST_INCARNATION + 1, Long.MAX_VALUE))
         when (val opened = ReplicaStore.open(settings.dataFolder, settings.cluster.identity.clusterId, newReplica)) {
-            is Outcome.Success -> opened.value
+            is Outcome.Success -> opened
             is Outcome.Failure -> {
-                log.warn("data_folder_unusable") { field("problem", opened.error.toMessage()) }
-                if (opened.error is StorageProblem.Corrupt) clear(settings)
-                null
+                val isCorrupt = opened.error is StorageProblem.Corrupt
+                // The instance starts again as a new replica, as if its disk were lost.
+                if (isCorrupt) ReplicaStore.clear(settings.dataFolder)
+                Outcome.Failure(Problem(opened.error.toMessage(), isCorrupt))
             }
         }
     } catch (failure: IOException) {
-        log.warn("data_folder_unusable") { field("problem", failure) }
-        null
+        Outcome.Failure(Problem("$failure", isCleared = false))
     }
 
     /**
-     * Makes the seeds the first voters. All instances must be given the same seeds at the first start of the system.
+     * Makes the seeds the first voters, unless a replica may have run with the folder already. A first start that was
+     * cut short, or whose disk refused a write, is repeated. All instances must be given the same seeds at the first
+     * start of the system.
      */
-    private fun initialiseIfFirstStart(settings: ClusterSettings) {
+    private fun initialiseIfUnused(settings: ClusterSettings) {
         val self = ReplicaId(settings.ip, FIRST_INCARNATION)
         val voters = settings.cluster.seedInstances.map { ReplicaId(it, FIRST_INCARNATION) }.toSet()
-        if (!settings.isFirstStart || self !in voters || !isEmpty(settings)) return
+        if (self !in voters || !ReplicaStore.isUnused(settings.dataFolder)) return
         ReplicaStore.initialise(settings.dataFolder, settings.cluster.identity.clusterId, self, voters)
     }
-
-    private fun isEmpty(settings: ClusterSettings): Boolean {
-        if (!Files.isDirectory(settings.dataFolder)) return true
-        return Files.list(settings.dataFolder).use { files -> files.findAny().isEmpty }
-    }
-
-    /** Deletes a damaged folder's files, as if its disk were lost: the instance starts again as a new replica. */
-    private fun clear(settings: ClusterSettings) {
-        Files.list(settings.dataFolder).use { files -> files.forEach(Files::delete) }
-    }
 }
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -2,6 +2,7 @@
 
 import marigoldward.core.Outcome
 import marigoldward.core.control.ControlState
+import marigoldward.core.errorOrNull
 import marigoldward.core.flatMap
 import marigoldward.core.map
 import marigoldward.core.replication.HardState
@@ -10,6 +11,8 @@
 import marigoldward.core.replication.ReplicaId
 import marigoldward.core.replication.Snapshot
 import marigoldward.core.replication.SnapshotPoint
+import marigoldward.support.log.EventLog
+import marigoldward.support.time.MonotonicClock
 import java.io.IOException
 import java.nio.channels.FileChannel
 import java.nio.channels.FileLock
@@ -75,6 +78,9 @@
         private const val SNAPSHOT = "snapshot"
         private const val LOG = "log"
         private const val LOCK = "lock"
+        private const val MAX_WAIT_MILLIS = 5_000L
+        private const val RETRY_MILLIS = 50L
+        private val eventLog = EventLog.fromName("storage")
 
         /** Prepares [folder] for one of the first replicas of a new cluster, whose members are [voters]. */
         fun initialise(
@@ -91,6 +97,17 @@
             return Outcome.Success(Unit)
         }
 
+        /**
+         * Returns whether no replica can have run with [folder]: it lacks the identity, which is written last, before
+         * the replica starts, and the log. Other files may be those of a start that was cut short.
+         */
+        fun isUnused(folder: Path): Boolean = listOf(IDENTITY, LOG).none { Files.exists(folder.resolve(it)) }
+
+        /** Deletes the files of a replica from [folder]; the log last, so that the folder isn't taken for unused before. */
+        fun clear(folder: Path) {
+            listOf(IDENTITY, HARD_STATE, SNAPSHOT, LOG).forEach { Files.deleteIfExists(folder.resolve(it)) }
+        }
+
         /**
          * Opens [folder] and locks it. An empty one is given to [newReplica], which knows no members yet.
          *
@@ -99,9 +116,46 @@
         fun open(folder: Path, clusterId: String, newReplica: ReplicaId): Outcome<ReplicaStore, StorageProblem> {
             Files.createDirectories(folder)
             val lock = lockOrNull(folder) ?: return Outcome.Failure(StorageProblem.InUse(folder.toString()))
-            val opened = openLocked(folder, clusterId, newReplica, lock)
-            if (opened is Outcome.Failure) lock.channel().close()
-            return opened
+            var opened: Outcome<ReplicaStore, StorageProblem>? = null
+            try {
+                opened = openLocked(folder, clusterId, newReplica, lock)
+                return opened
+            } finally {
+                // An exception must release the lock too, or no later attempt of this process gets it.
+                if (opened !is Outcome.Success) lock.channel().close()
+            }
+        }
+
+        /**
+         * Returns the same as [open], but waits for [maxWaitMillis] for a folder that another process has open: the one
+         * that this process replaces may still be ending.
+         *
+         * @throws IOException if the folder can't be read or written
+         */
+        fun openWhenFree(
+            folder: Path,
+            clusterId: String,
+            newReplica: ReplicaId,
+            maxWaitMillis: Long = MAX_WAIT_MILLIS,
+        ): Outcome<ReplicaStore, StorageProblem> {
+            val startMillis = MonotonicClock.nowMillis()
+            var isLogged = false
+            while (true) {
+                val opened = open(folder, clusterId, newReplica)
+                val waitedMillis = MonotonicClock.nowMillis() - startMillis
+                if (opened.errorOrNull() !is StorageProblem.InUse || waitedMillis >= maxWaitMillis) {
+                    if (isLogged) eventLog.info("data_folder_awaited") { field("waited_ms", waitedMillis) }
+                    return opened
+                }
+                if (!isLogged) {
+                    eventLog.warn("data_folder_in_use") {
+                        field("folder", folder)
+                        field("max_wait_ms", maxWaitMillis)
+                    }
+                }
+                isLogged = true
+                Thread.sleep(RETRY_MILLIS)
+            }
         }
 
         private fun openLocked(
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -24,6 +24,7 @@
 import marigoldward.core.replication.SnapshotPoint
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.concurrent.thread
 
 private val SELF = ReplicaId(InstanceId.parse("control-1"), 1)
 private val NEW_REPLICA = ReplicaId(InstanceId.parse("control-1"), 99)
@@ -112,6 +113,26 @@
                     .shouldBeInstanceOf<StorageProblem.OtherCluster>()
             }
         }
+        // A control instance that was started before its predecessor had ended, ended with exit code 2.
+        describe("a data folder that another process has open") {
+            it("is opened when it is free") {
+                val folder = initialisedFolder()
+                val predecessor = open(folder)
+                val closer = thread {
+                    Thread.sleep(300)
+                    predecessor.close()
+                }
+                ReplicaStore.openWhenFree(folder, "cluster", NEW_REPLICA).getOrNull().shouldNotBeNull().close()
+                closer.join()
+            }
+            it("is refused after a bounded time") {
+                val folder = initialisedFolder()
+                open(folder).use {
+                    ReplicaStore.openWhenFree(folder, "cluster", NEW_REPLICA, maxWaitMillis = 200).errorOrNull()
+                        .shouldBeInstanceOf<StorageProblem.InUse>()
+                }
+            }
+        }
         describe("the log") {
             it("drops an incomplete record at the end and reports its size") {
                 val folder = writeEntries(initialisedFolder(), 1L..3L)
