Read a settings file that is being written again instead of ending

Operators saw processes that ended with exit code 2 when they started while their settings file was missing, empty or half written. A file that was cut in its last number was taken for whole.

Cause: the file was read once, and nothing told a part from the whole. Class: a passing state of the surroundings is taken for a permanent one.

Changed tests: ProgramTest compared the whole output; a line that says why the process ends has come, which the test now requires too, once, and the rest of the output is compared as before.

--- a/control/src/main/kotlin/marigoldward/control/Main.kt
+++ b/control/src/main/kotlin/marigoldward/control/Main.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.default
 import kotlinx.cli.required
 import marigoldward.control.storage.ReplicaStore
+import marigoldward.control.storage.StorageProblem
 import marigoldward.control.storage.toMessage
 import marigoldward.core.Outcome
 import marigoldward.core.replication.ReplicaId
@@ -29,8 +30,12 @@
         .option(ArgType.Boolean, fullName = "init-new-cluster", description = "prepare the first replicas, then end")
         .default(false)
     parser.parse(arguments)
-    val settings = Program.loadSettings(File(settingsFile), ControlSettings::read)
-    if (isNewCluster) initialise(settings) else run(settings)
+    val file = File(settingsFile)
+    if (isNewCluster) {
+        initialise(Program.loadSettings(file, ControlSettings::read))
+    } else {
+        run(Program.awaitSettings(file, ControlSettings::read).settings)
+    }
 }
 
 private fun initialise(settings: ControlSettings) {
@@ -38,19 +43,20 @@
     val self = ReplicaId(settings.id, FIRST_INCARNATION)
     when (val result = ReplicaStore.initialise(settings.dataFolder, settings.clusterId, self, voters)) {
         is Outcome.Success -> println("initialised $self in ${settings.dataFolder}")
-        is Outcome.Failure -> refuse(settings, result.error.toMessage())
+        is Outcome.Failure -> Program.exitWithProblems(listOf(problem(settings, result.error)))
     }
 }
 
 private fun run(settings: ControlSettings) {
     val newReplica = ReplicaId(settings.id, SecureRandom().nextLong(FIRST_INCARNATION + 1, Long.MAX_VALUE))
-    when (val store = ReplicaStore.open(settings.dataFolder, settings.clusterId, newReplica)) {
-        is Outcome.Failure -> refuse(settings, store.error.toMessage())
+    when (val store = ReplicaStore.openWhenFree(settings.dataFolder, settings.clusterId, newReplica)) {
+        is Outcome.Failure ->
+            Program.endWithProblems("data_folder_unusable", listOf(problem(settings, store.error)))
         is Outcome.Success -> {
             Program.run { ControlProgram.start(settings, store.value) }
         }
     }
 }
 
-private fun refuse(settings: ControlSettings, message: String): Nothing =
-    Program.exitWithProblems(listOf(SettingsProblem(settings.dataFolder.toString(), 0, message)))
+private fun problem(settings: ControlSettings, problem: StorageProblem): SettingsProblem =
+    SettingsProblem(settings.dataFolder.toString(), 0, problem.toMessage())
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -10,7 +10,6 @@
 import marigoldward.support.settings.ProblemList
 import marigoldward.support.settings.SettingsProblem
 import java.io.File
-import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import kotlin.system.exitProcess
 
@@ -50,44 +49,46 @@
 
     /** Returns the settings that [read] gets from [file]. If there are problems, prints all and ends the process. */
     public fun <T> loadSettings(file: File, read: (IniDocument, ProblemList) -> T): T =
-        loadSettings(readSource(file), read)
+        when (val loaded = SettingsFile.load(file, read)) {
+            is Outcome.Success -> loaded.value.settings
+            is Outcome.Failure -> exitWithProblems(loaded.error)
+        }
 
-    /** Returns the settings that [read] gets from [source]. If there are problems, prints all and ends the process. */
-    public fun <T> loadSettings(source: SourceFile, read: (IniDocument, ProblemList) -> T): T =
-        when (val document = IniDocument.parse(source)) {
-            is Outcome.Failure -> exitWithProblems(document.error)
-            is Outcome.Success -> {
-                val problems = ProblemList.create()
-                val settings = read(document.value, problems)
-                if (problems.isNotEmpty()) exitWithProblems(problems.toList())
-                settings
-            }
+    /**
+     * Returns the settings that [read] gets from [file], for a process that serves others and may start while its file
+     * is being written.
+     *
+     * Reads a file that is missing or invalid again for [SettingsFile.MAX_WAIT_MILLIS]. Then prints all problems, logs
+     * why the process ends, and ends it with [EXIT_USAGE].
+     */
+    public fun <T> awaitSettings(file: File, read: (IniDocument, ProblemList) -> T): SettingsFile.Loaded<T> =
+        when (val loaded = SettingsFile.awaitValid(file, read = read)) {
+            is Outcome.Success -> loaded.value
+            is Outcome.Failure -> endWithProblems("settings_not_valid", loaded.error)
         }
 
-    /** Returns the settings in [source], the new content of a file, or logs a problem and returns null if invalid. */
-    public fun <T> reloadSettings(source: SourceFile, read: (IniDocument, ProblemList) -> T): T? {
-        val problems = ProblemList.create()
-        val settings =
-            when (val document = IniDocument.parse(source)) {
-                is Outcome.Failure -> null.also {
-                    document.error.forEach { problems.add(it.file, it.line, it.message) }
+    /** Returns the settings in [source], the new content of a file, or logs the problems and returns null if invalid. */
+    public fun <T> reloadSettings(source: SourceFile, read: (IniDocument, ProblemList) -> T): T? =
+        when (val parsed = SettingsFile.parse(source, read)) {
+            is Outcome.Success -> parsed.value.settings
+            is Outcome.Failure -> {
+                log.warn("settings_not_valid") {
+                    field("problem", parsed.error.first())
+                    field("problems", parsed.error.size)
                 }
-                is Outcome.Success -> read(document.value, problems)
+                null
             }
-        if (problems.isNotEmpty()) {
-            log.warn("settings_not_valid") { field("problem", problems.toList().first()) }
-            return null
         }
-        return settings
-    }
 
     /**
      * Runs the program that [start] returns until the process is asked to terminate, and then closes it.
      *
      * A request to terminate that comes during the start takes effect after it, so that connections accepted by then
-     * are not cut off. If [start] throws, prints the cause and ends the process with [EXIT_START].
+     * are not cut off. If [start] throws, prints and logs the cause and ends the process with [EXIT_START]. An exception
+     * that ends any other thread is logged; the process goes on.
      */
     public fun run(start: () -> AutoCloseable): Nothing {
+        Thread.setDefaultUncaughtExceptionHandler(::logThreadEnd)
         val started = CompletableFuture<AutoCloseable?>()
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -101,22 +102,38 @@
             started.complete(null)
             val cause = generateSequence<Throwable>(failure) { it.cause }.last()
             System.err.println("cannot start: ${cause.javaClass.simpleName}: ${cause.message}")
+            logEnd("cannot_start", EXIT_START, failure)
             exitProcess(EXIT_START)
         }
         // The process ends with the shutdown hooks, while this thread still waits.
         while (true) Thread.sleep(Long.MAX_VALUE)
     }
 
+    /** Logs that the process ends for [reason], prints [problems] and ends it with [EXIT_USAGE]. */
+    public fun endWithProblems(reason: String, problems: List<SettingsProblem>): Nothing {
+        logEnd(reason, EXIT_USAGE)
+        EventLog.flush()
+        exitWithProblems(problems)
+    }
+
     /** Prints [problems] and ends the process with [EXIT_USAGE]. */
     public fun exitWithProblems(problems: List<SettingsProblem>): Nothing {
         problems.forEach { System.err.println(it) }
         exitProcess(EXIT_USAGE)
     }
 
-    /** Returns the content of the settings file [file]. If it can't be read, prints that and ends the process. */
-    public fun readSource(file: File): SourceFile = try {
-        SourceFile(file.path, file.readText())
-    } catch (failure: IOException) {
-        exitWithProblems(listOf(SettingsProblem(file.path, 0, "cannot be read: ${failure.message}")))
+    private fun logEnd(reason: String, exitCode: Int, failure: Throwable? = null) {
+        log.warn("process_ends") {
+            field("reason", reason)
+            field("exit_code", exitCode)
+            if (failure != null) field("error", failure.stackTraceToString())
+        }
+    }
+
+    private fun logThreadEnd(thread: Thread, failure: Throwable) {
+        log.warn("thread_failed") {
+            field("thread", thread.name)
+            field("error", failure.stackTraceToString())
+        }
     }
 }
--- a/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
+++ b/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
@@ -16,7 +16,10 @@
     public val file: String,
     private val index: IniLineIndex,
     private val parsed: INIConfiguration,
+    private val lastLine: IndexedLine,
 ) {
+    private data class IndexedLine(val number: Int, val text: String)
+
     /** The section names in file order. */
     public val sectionNames: List<String> get() = index.sectionNames
 
@@ -31,6 +34,12 @@
         }
     }
 
+    /** Adds a problem if the last line, blank ones apart, is not [END_LINE], so that the file may have been cut short. */
+    public fun requireEndLine(problems: ProblemList) {
+        if (lastLine.text == END_LINE) return
+        problems.add(file, lastLine.number, "the file is not whole: its last line is not \"$END_LINE\"")
+    }
+
     /** Returns a reader of the section [name]. A section that the file does not have is read as an empty one. */
     public fun section(name: String, problems: ProblemList): SectionReader =
         SectionReader.fromLayers(name, listOf(this), problems)
@@ -43,6 +52,12 @@
 
     /** Parses documents. */
     public companion object {
+        /**
+         * The last line of a settings file whose reader has to recognise that the file is still being written. It is a
+         * comment: readers that don't know it ignore it.
+         */
+        public const val END_LINE: String = "# end of settings"
+
         /** Returns the document, or all problems of its structure. */
         public fun parse(source: SourceFile): Outcome<IniDocument, List<SettingsProblem>> {
             val problems = ProblemList.create()
@@ -57,7 +72,12 @@
                 val problem = SettingsProblem(source.name, 0, "is not an INI file: ${failure.message}")
                 return Outcome.Failure(listOf(problem))
             }
-            return Outcome.Success(IniDocument(source.name, index, parsed))
+            return Outcome.Success(IniDocument(source.name, index, parsed, lastLine(source.text)))
+        }
+
+        private fun lastLine(text: String): IndexedLine {
+            val lines = text.trimEnd().lines()
+            return IndexedLine(lines.size, lines.last().trim())
         }
     }
 }
--- a/support/src/test/kotlin/marigoldward/support/program/ProgramTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/ProgramTest.kt
@@ -28,6 +28,12 @@
     return ProcessBuilder(command + arguments).redirectErrorStream(true).start()
 }
 
+private val LOG_LINE = Regex("time=\\S+ level=\\S+ logger=\\S+ event=.*")
+
+/** Returns the reason and the exit code in a log line about the end of a process. */
+private fun endReason(line: String): String =
+    line.substringAfter(" event=process_ends reason=", "").substringBefore(" error=")
+
 class ProgramTest :
     DescribeSpec({
         // A process that got SIGTERM during its start ended without closing what it had started.
@@ -44,8 +50,9 @@
         describe("a program that can't start") {
             it("prints the cause and ends") {
                 val process = startProcess("room")
-                process.inputReader().readLines() shouldContainExactly
-                    listOf("starting", "cannot start: IllegalStateException: no room")
+                val (logged, printed) = process.inputReader().readLines().partition { LOG_LINE.matches(it) }
+                printed shouldContainExactly listOf("starting", "cannot start: IllegalStateException: no room")
+                logged.map(::endReason) shouldContainExactly listOf("cannot_start exit_code=1")
                 process.waitFor(5, TimeUnit.SECONDS) shouldBe true
                 process.exitValue() shouldBe Program.EXIT_START
             }
@@ -55,8 +62,9 @@
                 val hasEnded = process.waitFor(5, TimeUnit.SECONDS)
                 if (!hasEnded) process.destroyForcibly()
                 hasEnded shouldBe true
-                process.inputReader().readLines() shouldContainExactly
-                    listOf("starting", "cannot start: NoClassDefFoundError: no library")
+                val (logged, printed) = process.inputReader().readLines().partition { LOG_LINE.matches(it) }
+                printed shouldContainExactly listOf("starting", "cannot start: NoClassDefFoundError: no library")
+                logged.map(::endReason) shouldContainExactly listOf("cannot_start exit_code=1")
                 process.exitValue() shouldBe Program.EXIT_START
             }
         }
