Let a call to the directory or an engine that throws be a failed call

Cause: a duty halts the process (70) at any exception, which suits duties that guard a state; those that read answers from outside had the same rule. StageDutyTest and DirectoryDutyTest pass; on the code before they were not run, as by reading they would halt the test's own process.

--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -77,7 +77,7 @@
         step.changes.forEach { order(it, step.planner) }
     }
 
-    private fun statusOrNull(engine: ListedUpstream): EngineStatus? = when (val read = engines.readStatus(engine)) {
+    private fun statusOrNull(engine: ListedUpstream): EngineStatus? = when (val read = readStatus(engine)) {
         is Outcome.Success -> {
             if (unreachable.remove(engine.id)) log.info("engine_regained") { field("engine", engine.id) }
             read.value
@@ -101,7 +101,7 @@
         if (term != leaderTerm) return
         val token = FencingToken.fromNumber(term)
         val order = EngineControl.StageOrder(status.engine, change.newStage, self, token, status.orderSequence)
-        val result = engines.send(order)
+        val result = send(order)
         recordResult(status, result)
         log.info("stage_ordered") {
             field("engine", status.engine.id)
@@ -113,6 +113,20 @@
         }
     }
 
+    /** Reads the status of [engine]. One that can't be handled is a failed reading, which must not end the process. */
+    private fun readStatus(engine: ListedUpstream): Outcome<EngineStatus, String> = try {
+        engines.readStatus(engine)
+    } catch (failure: Exception) {
+        Outcome.Failure(failure.toString())
+    }
+
+    /** Sends [order]. An exception must not end the process; it doesn't tell whether the order was sent. */
+    private fun send(order: EngineControl.StageOrder): EngineControl.OrderResult = try {
+        engines.send(order)
+    } catch (failure: Exception) {
+        EngineControl.OrderResult.Unknown(failure.toString())
+    }
+
     private fun recordResult(status: EngineStatus, result: EngineControl.OrderResult) {
         when (result) {
             is EngineControl.OrderResult.Unknown ->
--- a/support/src/main/kotlin/marigoldward/support/directory/DirectoryDuty.kt
+++ b/support/src/main/kotlin/marigoldward/support/directory/DirectoryDuty.kt
@@ -1,6 +1,7 @@
 package marigoldward.support.directory
 
 import marigoldward.core.Outcome
+import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
@@ -22,7 +23,7 @@
 
     private fun read() {
         val startMillis = MonotonicClock.nowMillis()
-        when (val result = source.read()) {
+        when (val result = readSource()) {
             is Outcome.Success -> {
                 if (isFailing) log.info("directory_regained")
                 isFailing = false
@@ -35,6 +36,14 @@
         }
     }
 
+    /** Reads the source. An answer that it can't handle is a failed reading, which must not end the process. */
+    private fun readSource(): Outcome<List<ListedUpstream>, String> = try {
+        source.read()
+    } catch (failure: Exception) {
+        log.warn("directory_not_handled") { field("error", failure.stackTraceToString()) }
+        Outcome.Failure(failure.toString())
+    }
+
     private companion object {
         const val MAX_PENDING_READS = 4
         val log = EventLog.fromName("directory")
