--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -87,7 +87,7 @@
 
     /** Returns the status of [engine], or null if it could not be read or the engine is leaving. */
     private fun statusOrNull(engine: ListedUpstream): EngineStatus? {
-        val reply = engines.readStatus(engine)
+        val reply = readStatus(engine)
         if (reply.isLeaving) recordLeaving(engine, "report")
         return when (val read = reply.result) {
             is Outcome.Success -> {
@@ -124,7 +124,7 @@
         if (term != leaderTerm) return
         val token = FencingToken.fromNumber(term)
         val order = EngineControl.StageOrder(status.engine, change.newStage, self, token, status.orderSequence)
-        val reply = engines.send(order)
+        val reply = send(order)
         if (reply.isLeaving) recordLeaving(status.engine, "order")
         val result = reply.result
         recordResult(status, result)
@@ -138,6 +138,20 @@
         }
     }
 
+    /** Reads the status of [engine]. One that can't be handled is a failed reading, which must not end the process. */
+    private fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> = try {
+        engines.readStatus(engine)
+    } catch (failure: Exception) {
+        EngineControl.Reply(Outcome.Failure(failure.toString()), isLeaving = false)
+    }
+
+    /** Sends [order]. An exception must not end the process; it doesn't tell whether the order was sent. */
+    private fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> = try {
+        engines.send(order)
+    } catch (failure: Exception) {
+        EngineControl.Reply(EngineControl.OrderResult.Unknown(failure.toString()), isLeaving = false)
+    }
+
     private fun recordResult(status: EngineStatus, result: EngineControl.OrderResult) {
         when (result) {
             is EngineControl.OrderResult.Unknown ->
--- a/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
@@ -1,7 +1,9 @@
 package marigoldward.control.stages
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.core.Outcome
@@ -16,11 +18,13 @@
 import marigoldward.support.duty.Duty
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
 
-private fun engine(name: String) = ListedUpstream(
-    UpstreamId.parse(name),
+private fun engine(number: Int) = ListedUpstream(
+    UpstreamId.parse("engine-$number"),
     PoolName.parse("service"),
-    "127.0.0.1:1",
+    "127.0.0.1:$number",
     DataCentre.parse("here"),
     slots = 8,
     isLeaving = false,
@@ -28,7 +32,10 @@
     stage = EngineStage.DECODE,
 )
 
-private val ENGINES = listOf("one", "two", "three", "four").map(::engine)
+private val ENGINES = (1..4).map(::engine)
+
+private fun statusOf(engine: ListedUpstream) =
+    EngineStatus(engine, EngineStage.DECODE, 0, 0, 0.0, isExecutingOrder = false, orderSequence = 0)
 
 /** Engines that do nothing, of which [leaving] announces in its answers that it is leaving. */
 private class IdleEngines(private val leaving: UpstreamId?) : EngineControl {
@@ -37,8 +44,7 @@
 
     override fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> {
         reports.add(engine.id)
-        val status = EngineStatus(engine, EngineStage.DECODE, 0, 0, 0.0, isExecutingOrder = false, orderSequence = 0)
-        return EngineControl.Reply(Outcome.Success(status), engine.id == leaving)
+        return EngineControl.Reply(Outcome.Success(statusOf(engine)), engine.id == leaving)
     }
 
     override fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> {
@@ -47,19 +53,43 @@
     }
 }
 
-private fun pollTwice(engines: IdleEngines) {
-    val replica = Duty.start<ReplicaDutyEvent>("replica", 16) { events ->
+/** Engines whose calls throw what their callers don't expect. */
+private class ThrowingEngines(private val isReadable: Boolean) : EngineControl {
+    val reads = AtomicInteger()
+    val orders = AtomicInteger()
+
+    override fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> {
+        reads.incrementAndGet()
+        check(isReadable) { "the status of ${engine.id} can't be handled" }
+        return EngineControl.Reply(Outcome.Success(statusOf(engine)), isLeaving = false)
+    }
+
+    override fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> {
+        orders.incrementAndGet()
+        error("the order to ${order.engine.id} can't be handled")
+    }
+}
+
+/** Calls [action] with a duty that orders [engines]. */
+private suspend fun withDuty(engines: EngineControl, action: suspend (StageDuty) -> Unit) {
+    val replica = Duty.start<ReplicaDutyEvent>("replica", 64) { events ->
         events.filterIsInstance<ReplicaDutyEvent.ReadLeaderTerm>().forEach { it.answer(1) }
     }
-    StageDuty(InstanceId.parse("10.0.0.1"), engines, replica, takeoverDelayMillis = 0) {
-        DirectoryReading(ENGINES, MonotonicClock.nowMillis())
-    }.use { duty ->
-        repeat(2) {
-            duty.poll()
-            Thread.sleep(200)
-        }
+    replica.use {
+        StageDuty(InstanceId.parse("10.0.0.1"), engines, replica, takeoverDelayMillis = 0) {
+            DirectoryReading(ENGINES, MonotonicClock.nowMillis())
+        }.use { duty -> action(duty) }
     }
-    replica.close()
+}
+
+/** Polls twice, the second time when all engines have been asked. */
+private suspend fun pollTwice(engines: IdleEngines) = withDuty(engines) { duty ->
+    duty.poll()
+    eventually(10.seconds) { engines.reports.size shouldBe ENGINES.size }
+    Thread.sleep(200)
+    duty.poll()
+    eventually(10.seconds) { engines.reports.size shouldBeGreaterThan 2 * ENGINES.size - 2 }
+    Thread.sleep(200)
 }
 
 class StageDutyTest :
@@ -82,4 +112,26 @@
                 engines.reports.count { it == ordered } shouldBe 1
             }
         }
+        // An engine whose answer or address was not expected halted the control instance with exit code 70.
+        describe("an exception in a call to an engine") {
+            it("doesn't end the process when the status is read") {
+                val engines = ThrowingEngines(isReadable = false)
+                withDuty(engines) { duty ->
+                    eventually(10.seconds) {
+                        duty.poll()
+                        engines.reads.get() shouldBeGreaterThan 8
+                    }
+                }
+            }
+            it("doesn't end the process when an order is sent") {
+                val engines = ThrowingEngines(isReadable = true)
+                withDuty(engines) { duty ->
+                    eventually(10.seconds) {
+                        duty.poll()
+                        engines.orders.get() shouldBeGreaterThan 0
+                        engines.reads.get() shouldBeGreaterThan 8
+                    }
+                }
+            }
+        }
     })
