Log requests that are dropped with their connection

An entry that read a request and closed its connection without an answer left no line, so that a stop that drops requests could not be told from a caller that leaves. event=request_dropped and marigoldward_requests_dropped_total say why: the connection was being closed when the request came, or an earlier answer closed it while the request waited.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -51,6 +51,13 @@
             .help("Answers of upstreams that belong to no call on their connection, by why")
             .labelNames("reason")
             .register()
+    private val requestsDropped: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_requests_dropped_total")
+            .help("Connections closed on a request that was read, by why")
+            .labelNames("reason")
+            .register()
     private val firstPartSeconds: Histogram =
         histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
     private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
@@ -76,6 +83,8 @@
 
     fun recordAnswerDropped(reason: String) = answersDropped.labelValues(reason).inc()
 
+    fun recordRequestDropped(reason: String) = requestsDropped.labelValues(reason).inc()
+
     fun recordRequestEnd(route: Route, outcome: String, timing: ResponseTiming, totalMillis: Long) {
         val priority = route.priority.toString()
         requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.Http1Encoder
@@ -34,6 +35,7 @@
     private val queued = ArrayDeque<IncomingRequest>()
     private var current: Exchange? = null
     private var isClosing = false
+    private var hasDroppedRequest = false
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
     private val acceptedMillis = MonotonicClock.nowMillis()
@@ -105,7 +107,11 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject && !isClosing) handle(message)
+            when {
+                message !is HttpObject -> Unit
+                isClosing -> drop(message)
+                else -> handle(message)
+            }
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -118,6 +124,24 @@
         if (incoming == null && headStartedMillis == null) headStartedMillis = MonotonicClock.nowMillis()
     }
 
+    /** Logs the first request that comes while the connection is being closed. */
+    private fun drop(message: HttpObject) {
+        if (message is HttpRequest && message.decoderResult().isSuccess) recordDropped("closing", message.uri())
+    }
+
+    /** Logs and counts a request that gets no answer though its caller has not left; once for each connection. */
+    private fun recordDropped(reason: String, target: String) {
+        if (hasDroppedRequest) return
+        hasDroppedRequest = true
+        GatewayMetrics.recordRequestDropped(reason)
+        log.info("request_dropped") {
+            field("caller", context.channel().remoteAddress())
+            field("target", target)
+            field("reason", reason)
+            field("since_answer_ms", MonotonicClock.nowMillis() - idleSinceMillis)
+        }
+    }
+
     private fun handle(message: HttpObject) {
         if (message.decoderResult().isFailure) {
             rejectRequest(statusOf(message.decoderResult().cause()), message.decoderResult().cause().message)
@@ -243,7 +267,10 @@
         if (current !== exchange) return
         endCurrent()
         idleSinceMillis = MonotonicClock.nowMillis()
-        if (!keepsConnection || isClosing) return closeGracefully()
+        if (!keepsConnection || isClosing) {
+            queued.firstOrNull()?.let { recordDropped("queued", it.head.target) }
+            return closeGracefully()
+        }
         val next = dequeueOrNull()
         if (next != null) startExchange(next) else askForBody()
     }
