Keep the connection of a stream whose head has let its caller keep it

What callers saw: a stream ended well while its entry was stopping, and the next request on its connection got the end of the connection in place of an answer. The head of the stream, sent before the SIGTERM, says nothing of a close; the entry closed the connection with the last event. A request that must not run twice can't be sent again by its caller then.

Cause: whether a connection ends was decided anew at the end of a response, after the caller had been told. Now the head decides. The next response on the connection says that it closes; if no request comes, the shutdown closes the connection as idle, but not within half a second after a response that let the caller keep it, as for a new connection.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -38,9 +38,7 @@
     private var hasDroppedRequest = false
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
-    private val acceptedMillis = MonotonicClock.nowMillis()
-    private var hasReceivedBytes = false
-    private var lastReceivedMillis = acceptedMillis
+    private var lastReceivedMillis = idleSinceMillis
     private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
@@ -63,13 +61,16 @@
     /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
     private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
-    /** Whether nothing was received yet on a connection so new that its first request is probably on its way. */
-    val isAwaitingFirstRequest: Boolean
-        get() = !hasReceivedBytes && MonotonicClock.nowMillis() - acceptedMillis < FIRST_REQUEST_MILLIS
+    /**
+     * Whether a request is probably on its way: the connection is idle, and is new or has just carried a response that let
+     * the caller keep it.
+     */
+    val isAwaitingRequest: Boolean
+        get() = isIdle && !isClosing && MonotonicClock.nowMillis() - idleSinceMillis < NEXT_REQUEST_MILLIS
 
-    /** Closes the connection if it is idle, unless it is awaiting its first request. */
+    /** Closes the connection if it is idle, unless a request is probably on its way. */
     fun closeIfIdle() {
-        if (isIdle && !isAwaitingFirstRequest) closeGracefully()
+        if (isIdle && !isAwaitingRequest) closeGracefully()
     }
 
     /** Closes the connection at once with a TCP reset. */
@@ -119,7 +120,6 @@
 
     /** Starts the time limit for the request head. Called when bytes were received, before they are decoded. */
     fun onBytesReceived() {
-        hasReceivedBytes = true
         lastReceivedMillis = MonotonicClock.nowMillis()
         if (incoming == null && headStartedMillis == null) headStartedMillis = MonotonicClock.nowMillis()
     }
@@ -332,6 +332,9 @@
         override val isWritable: Boolean get() = context.channel().isWritable
         private val isHead = request.head.method == "HEAD"
 
+        /** Whether the head of the response has let the caller keep the connection. */
+        private var hasAnnouncedToKeep = false
+
         private val isCurrent: Boolean get() = current === this
 
         override fun respond(head: ResponseHead, body: ByteArray) {
@@ -346,7 +349,8 @@
         override fun beginResponse(head: ResponseHead) {
             if (!isCurrent) return
             val framing = if (received.isBeforeHttp11) null else "Transfer-Encoding: chunked"
-            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection()), framing))
+            hasAnnouncedToKeep = keepsConnection()
+            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, hasAnnouncedToKeep), framing))
         }
 
         override fun sendPart(data: ByteArray) {
@@ -359,7 +363,7 @@
         override fun endResponse() {
             if (!isCurrent) return
             if (!received.isBeforeHttp11 && !isHead) write(Http1Encoder.lastChunk(context.alloc()))
-            onResponseEnded(this, keepsConnection())
+            onResponseEnded(this, hasAnnouncedToKeep)
         }
 
         override fun abort() {
@@ -388,8 +392,8 @@
         /** The number of requests that wait on one connection above which no more are read. */
         const val MAX_QUEUED_REQUESTS = 64
 
-        /** How long the request for which a caller has opened a connection takes to arrive, at most. */
-        const val FIRST_REQUEST_MILLIS = 500L
+        /** How long the request for which a caller has opened or kept a connection takes to arrive, as a rule. */
+        const val NEXT_REQUEST_MILLIS = 500L
 
         /** How long the caller has to read the last response before the connection is closed. */
         const val LINGER_MILLIS = 1_000L
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -38,8 +38,8 @@
     /** Whether connections are closed after their current response. */
     var isDraining: Boolean = false
 
-    /** Whether any connection is not idle, or is awaiting its first request. */
-    val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingFirstRequest }
+    /** Whether any connection is not idle, or a request is probably on its way. */
+    val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingRequest }
 
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
@@ -63,7 +63,7 @@
         listenChannel?.close()
     }
 
-    /** Closes the idle connections, but for those that are awaiting their first request. */
+    /** Closes the idle connections, but for those on which a request is probably on its way. */
     fun closeIdle() {
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
@@ -0,0 +1,83 @@
+package marigoldward.gateway.caller
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import marigoldward.core.dispatch.EngineStage
+import marigoldward.core.routes.CallerLimits
+import marigoldward.gateway.FakeUpstream
+import marigoldward.gateway.RawCaller
+import marigoldward.gateway.TestGateway
+import kotlin.concurrent.thread
+
+private const val GRACE_MILLIS = 3_000L
+private const val ANSWER_MILLIS = 500L
+
+private const val CLOSES = "Connection: close"
+
+private fun get(path: String, id: String, headers: String = ""): String =
+    "GET $path HTTP/1.1\r\nHost: h.example\r\nX-Id: $id\r\n$headers\r\n"
+
+private fun answerSlowly(call: FakeUpstream.Call) {
+    if (call.head.startsWith("GET /s/")) {
+        call.write(
+            "HTTP/1.1 200 OK\r\nX-Id: ${call.id}\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                "f\r\nid: 1\ndata: a\n\n\r\n",
+        )
+        Thread.sleep(ANSWER_MILLIS)
+        call.write("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+    } else {
+        Thread.sleep(ANSWER_MILLIS)
+        call.respond("answer to ${call.id}")
+    }
+}
+
+private fun withGateway(
+    stage: EngineStage? = null,
+    limits: CallerLimits = CallerLimits.DEFAULT,
+    script: (FakeUpstream.Call) -> Unit = ::answerSlowly,
+    test: (TestGateway, RawCaller) -> Unit,
+) = FakeUpstream(script).use { upstream ->
+    TestGateway(listOf(upstream.address to stage), limits = limits, timeoutMillis = 2_000, targetLatencyMillis = 1_000)
+        .use { gateway -> gateway.caller().use { test(gateway, it) } }
+}
+
+private fun RawCaller.shouldGet(status: Int): RawCaller.Response {
+    val response = readResponse().shouldNotBeNull()
+    response.status shouldBe status
+    response.isComplete shouldBe true
+    return response
+}
+
+class KeptConnectionTest :
+    DescribeSpec({
+        // A stopping gateway closed connections with the end of streams whose heads had let their callers keep them.
+        describe("a stream that began before the gateway stops") {
+            it("is followed by the answer to the next request on its connection") {
+                withGateway(EngineStage.DECODE) { gateway, caller ->
+                    caller.send(get("/s/x", "1"))
+                    Thread.sleep(ANSWER_MILLIS / 2)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    caller.shouldGet(200).head shouldNotContain CLOSES
+                    caller.send(get("/s/x", "2", "X-Wait: 1000\r\n"))
+                    caller.shouldGet(200).head shouldContain CLOSES
+                    caller.isClosed() shouldBe true
+                    shutdown.join()
+                }
+            }
+            it("is followed by the end of its connection if no other request comes") {
+                withGateway(EngineStage.DECODE) { gateway, caller ->
+                    caller.send(get("/s/x", "1"))
+                    Thread.sleep(ANSWER_MILLIS / 2)
+                    val startNanos = System.nanoTime()
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    caller.shouldGet(200)
+                    caller.isClosed() shouldBe true
+                    shutdown.join()
+                    ((System.nanoTime() - startNanos) / 1_000_000 < GRACE_MILLIS) shouldBe true
+                }
+            }
+        }
+    })
