Answer the requests that wait on a connection before a stopping entry closes it

What callers saw: of two requests sent at once over one connection to an entry that stops, the first is answered and the second gets the end of the connection, hundreds of milliseconds after the entry has read it. The same where bytes that are no request follow.

Cause: each answer after SIGTERM closed its connection, whatever else had been read from it. Now the last answer does: requests that have been read, or have begun to come, are answered first, as run or as not run. What is no request gets its own answer after them.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -35,6 +35,9 @@
     private val queued = ArrayDeque<IncomingRequest>()
     private var current: Exchange? = null
     private var isClosing = false
+
+    /** The status of the response to what follows the requests in [queued] and is no valid request, or null if none. */
+    private var rejectionStatus: Int? = null
     private var hasDroppedRequest = false
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
@@ -61,6 +64,10 @@
     /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
     private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
+    /** Whether a part of what follows the current request has come, which its caller has sent without notice of a close. */
+    private val hasReceivedMore: Boolean
+        get() = queued.isNotEmpty() || incoming != null || headStartedMillis != null || rejectionStatus != null
+
     /**
      * Whether a request is probably on its way: the connection is idle, and is new or has just carried a response that let
      * the caller keep it.
@@ -110,7 +117,7 @@
         try {
             when {
                 message !is HttpObject -> Unit
-                isClosing -> drop(message)
+                isClosing || rejectionStatus != null -> drop(message)
                 else -> handle(message)
             }
         } finally {
@@ -248,7 +255,10 @@
         }
     }
 
-    /** Rejects a malformed request and closes the connection, as the bytes after it cannot be interpreted. */
+    /**
+     * Rejects a malformed request, after those before it were answered, and closes the connection, as the bytes after it
+     * cannot be interpreted.
+     */
     private fun rejectRequest(status: Int, reason: String?) {
         log.info("request_not_understood") {
             field("caller", context.channel().remoteAddress())
@@ -256,8 +266,11 @@
             field("reason", reason)
         }
         dropIncoming()
-        isClosing = true
-        if (current != null) return
+        rejectionStatus = status
+        if (current == null) sendRejection(status)
+    }
+
+    private fun sendRejection(status: Int) {
         val head = ResponseHead(status, Headers.of("Connection" to "close"))
         write(Http1Encoder.responseHead(context.alloc(), head, "Content-Length: 0"))
         closeGracefully()
@@ -267,12 +280,17 @@
         if (current !== exchange) return
         endCurrent()
         idleSinceMillis = MonotonicClock.nowMillis()
-        if (!keepsConnection || isClosing) {
+        if (!keepsConnection) {
             queued.firstOrNull()?.let { recordDropped("queued", it.head.target) }
             return closeGracefully()
         }
         val next = dequeueOrNull()
-        if (next != null) startExchange(next) else askForBody()
+        val rejection = rejectionStatus
+        when {
+            next != null -> startExchange(next)
+            rejection != null -> sendRejection(rejection)
+            else -> askForBody()
+        }
     }
 
     /** Closes the connection once the socket has taken all responses. */
@@ -304,7 +322,7 @@
         val headMillis = headStartedMillis?.let { nowMillis - it } ?: 0
         val isOverdue = current == null && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis
         when {
-            !isClosing && headMillis > server.limits.headerTimeoutMillis ->
+            !isClosing && rejectionStatus == null && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
             isOverdue && isBodyStalled(nowMillis) ->
                 rejectRequest(REQUEST_TIMEOUT, "the rest of the request body did not come in time")
@@ -376,7 +394,7 @@
         fun releaseBody() = received.body.release()
 
         private fun keepsConnection(): Boolean =
-            received.keepsConnection && !received.isBeforeHttp11 && !server.isDraining && !isClosing
+            received.keepsConnection && !received.isBeforeHttp11 && (!server.isDraining || hasReceivedMore)
 
         private fun withConnection(head: ResponseHead, keepsConnection: Boolean): ResponseHead =
             if (keepsConnection) head else head.copy(headers = head.headers.plus("Connection", "close"))
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
@@ -80,4 +80,41 @@
                 }
             }
         }
+
+        // A stopping gateway dropped requests that it had read, with the connection on which they waited for another.
+        describe("requests that wait behind another on their connection when the gateway stops") {
+            it("are answered, and the last answer closes the connection") {
+                withGateway { gateway, caller ->
+                    caller.send(get("/i/x", "1") + get("/i/x", "2") + get("/i/x", "3"))
+                    Thread.sleep(ANSWER_MILLIS / 2)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    val answers = List(3) { caller.shouldGet(200) }
+                    answers.map { it.body } shouldBe (1..3).map { "answer to $it" }
+                    answers.map { CLOSES in it.head } shouldBe listOf(false, false, true)
+                    caller.isClosed() shouldBe true
+                    shutdown.join()
+                }
+            }
+            it("are refused as not run when the gateway ends") {
+                withGateway(script = { Thread.sleep(2 * GRACE_MILLIS) }) { gateway, caller ->
+                    caller.send(get("/n/x", "1") + get("/n/x", "2") + get("/n/x", "3"))
+                    Thread.sleep(ANSWER_MILLIS / 2)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS / 2) }
+                    caller.shouldGet(502)
+                    caller.shouldGet(503)
+                    caller.shouldGet(503).head shouldContain CLOSES
+                    caller.isClosed() shouldBe true
+                    shutdown.join()
+                }
+            }
+            it("are answered though what follows them is no request") {
+                withGateway { _, caller ->
+                    caller.send(get("/i/x", "1") + get("/i/x", "2") + "no request\r\n\r\n")
+                    caller.shouldGet(200).body shouldBe "answer to 1"
+                    caller.shouldGet(200).body shouldBe "answer to 2"
+                    caller.shouldGet(400).head shouldContain CLOSES
+                    caller.isClosed() shouldBe true
+                }
+            }
+        }
     })
