Read what has come before an idle connection is closed

What callers saw: a request on a kept connection got the end of the connection, although it was sent before that was closed.

Cause: idle connections are closed by a task of the event loop, at the idle limit and when the entry stops, that looked only at what had been read. On a loop that lags, or after a freeze, a request may lie in the socket. Now the task lets the loop read once more, and closes what is still idle.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -75,9 +75,16 @@
     val isAwaitingRequest: Boolean
         get() = isIdle && !isClosing && MonotonicClock.nowMillis() - idleSinceMillis < NEXT_REQUEST_MILLIS
 
-    /** Closes the connection if it is idle, unless a request is probably on its way. */
+    /** Closes the connection if it is idle, unless a request is probably on its way or in the socket already. */
     fun closeIfIdle() {
-        if (isIdle && !isAwaitingRequest) closeGracefully()
+        if (!isIdle || isAwaitingRequest || isClosing) return
+        val sinceMillis = idleSinceMillis
+        // Only a delayed task lets the loop read before it runs.
+        context.executor().schedule(
+            { if (isIdle && idleSinceMillis == sinceMillis) closeGracefully() },
+            1,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     /** Closes the connection at once with a TCP reset. */
@@ -327,7 +334,7 @@
             isOverdue && isBodyStalled(nowMillis) ->
                 rejectRequest(REQUEST_TIMEOUT, "the rest of the request body did not come in time")
             isOverdue && hasUnsentBytes -> resetSlowCaller()
-            isOverdue && isIdle -> closeGracefully()
+            isOverdue -> closeIfIdle()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
@@ -15,6 +15,8 @@
 private const val GRACE_MILLIS = 3_000L
 private const val ANSWER_MILLIS = 500L
 
+/** Longer than a connection counts as one whose next request is on its way. */
+private const val IDLE_MILLIS = 700L
 private const val CLOSES = "Connection: close"
 
 private fun get(path: String, id: String, headers: String = ""): String =
@@ -117,4 +119,39 @@
                 }
             }
         }
+
+        // A gateway closed idle connections without a look at what had come since it read them last.
+        describe("a request that lies in the socket while its connection is about to be closed as idle") {
+            it("is answered when the gateway stops") {
+                withGateway { gateway, caller ->
+                    caller.send(get("/i/x", "1"))
+                    caller.shouldGet(200)
+                    Thread.sleep(IDLE_MILLIS)
+                    gateway.onLoop {
+                        caller.send(get("/i/x", "2"))
+                        Thread.sleep(ANSWER_MILLIS / 10)
+                        gateway.server.closeIdle()
+                    }
+                    caller.shouldGet(200).body shouldBe "answer to 2"
+                }
+            }
+            it("is answered when the connection has been idle for too long") {
+                val limits = CallerLimits.DEFAULT.copy(idleTimeoutMillis = 100)
+                withGateway(limits = limits, script = { it.respond("answer to ${it.id}") }) { gateway, caller ->
+                    caller.send(get("/i/x", "1"))
+                    caller.shouldGet(200)
+                    gateway.onLoop {
+                        // Runs before the check of the idle limit, which is due then, without a read in between.
+                        gateway.afterNextAccept {
+                            caller.send(get("/i/x", "2"))
+                            Thread.sleep(ANSWER_MILLIS / 10)
+                        }
+                        Thread.sleep(TIMEOUT_CHECK_MILLIS)
+                    }
+                    caller.shouldGet(200).body shouldBe "answer to 2"
+                }
+            }
+        }
     })
+
+private const val TIMEOUT_CHECK_MILLIS = 1_100L
