Refuse requests that are still being received when an entry ends

What callers saw: a request whose body was still coming at the end of the grace period got a reset, which promises nothing. Now it gets 503: it has not run.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -46,6 +46,7 @@
         val requestsLeft = hasRequestsInProgress()
         onLoop {
             gateway.endRequests()
+            callerServer.refuseIncomplete()
             callerServer.closeIdle()
         }
         Thread.sleep(FLUSH_MILLIS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -87,6 +87,12 @@
         )
     }
 
+    /** Refuses the request that is still being received, if there is one, as not run. */
+    fun refuseIncomplete() {
+        if (isClosing || rejectionStatus != null || incoming == null && headStartedMillis == null) return
+        rejectRequest(UNAVAILABLE, "the request was not complete when the gateway ended")
+    }
+
     /** Closes the connection at once with a TCP reset. */
     fun reset() {
         (context.channel() as SocketChannel).config().setSoLinger(0)
@@ -413,6 +419,7 @@
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
         const val NO_CONTENT = 204
+        const val UNAVAILABLE = 503
 
         /** The number of requests that wait on one connection above which no more are read. */
         const val MAX_QUEUED_REQUESTS = 64
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -68,6 +68,11 @@
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
 
+    /** Refuses the requests that are still being received, as not run. */
+    fun refuseIncomplete() {
+        connections.toList().forEach(CallerConnection::refuseIncomplete)
+    }
+
     /** Resets all connections, as the end of the process does. */
     fun resetAll() {
         connections.toList().forEach(CallerConnection::reset)
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
@@ -152,6 +152,37 @@
                 }
             }
         }
+
+        // A request whose body had not come whole when its gateway ended got a reset in place of an answer.
+        describe("a request whose body is still coming when the gateway ends") {
+            listOf(
+                "of known length" to "Content-Length: 10\r\n\r\nhalf",
+                "in chunks" to CHUNKED,
+            ).forEach { (name, rest) ->
+                it("is refused as not run: a body $name") {
+                    withGateway { gateway, caller ->
+                        caller.send("POST /n/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n$rest")
+                        Thread.sleep(ANSWER_MILLIS / 2)
+                        val shutdown = thread { gateway.shutDown(GRACE_MILLIS / 2) }
+                        caller.shouldGet(503).head shouldContain CLOSES
+                        caller.isClosed() shouldBe true
+                        shutdown.join()
+                    }
+                }
+            }
+            it("is served if the rest comes before") {
+                withGateway { gateway, caller ->
+                    caller.send("POST /n/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\n$CHUNKED")
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    Thread.sleep(ANSWER_MILLIS)
+                    caller.send("\r\n0\r\n\r\n")
+                    caller.shouldGet(200).head shouldContain CLOSES
+                    caller.isClosed() shouldBe true
+                    shutdown.join()
+                }
+            }
+        }
     })
 
+private const val CHUNKED = "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf"
 private const val TIMEOUT_CHECK_MILLIS = 1_100L
