Answer a request that fails inside an entry

What callers saw: a fault of the entry while it handles a request closed the connection without an answer, with all that waited on it, and an Error left the connection open without one. Now the request gets 502, which promises nothing, as it may have been passed on; its work is cancelled, and the connection goes on. Only a response that has begun is broken off.

ForwardingTest and RequestMemoryTest asked for the closed connection. That was what the code did, not what a caller needs: they ask for the 502 now, and that the connection serves the next request, and still that the memory is freed. On the code of both fail: no answer.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -252,12 +252,13 @@
         if (current === exchange && context.channel().isActive) {
             try {
                 server.handle(exchange)
-            } catch (failure: RuntimeException) {
+            } catch (failure: Throwable) {
                 log.warn("request_failed") {
                     field("target", exchange.request.head.target)
                     field("reason", failure)
+                    field("at", failure.stackTrace.firstOrNull())
                 }
-                context.close()
+                exchange.endAfterFault()
             }
             return
         }
@@ -363,8 +364,8 @@
         override val isWritable: Boolean get() = context.channel().isWritable
         private val isHead = request.head.method == "HEAD"
 
-        /** Whether the head of the response has let the caller keep the connection. */
-        private var hasAnnouncedToKeep = false
+        /** Whether the head of the response has let the caller keep the connection, or null before it was sent. */
+        private var hasAnnouncedToKeep: Boolean? = null
 
         private val isCurrent: Boolean get() = current === this
 
@@ -380,8 +381,9 @@
         override fun beginResponse(head: ResponseHead) {
             if (!isCurrent) return
             val framing = if (received.isBeforeHttp11) null else "Transfer-Encoding: chunked"
-            hasAnnouncedToKeep = keepsConnection()
-            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, hasAnnouncedToKeep), framing))
+            val keepsConnection = keepsConnection()
+            hasAnnouncedToKeep = keepsConnection
+            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection), framing))
         }
 
         override fun sendPart(data: ByteArray) {
@@ -394,7 +396,7 @@
         override fun endResponse() {
             if (!isCurrent) return
             if (!received.isBeforeHttp11 && !isHead) write(Http1Encoder.lastChunk(context.alloc()))
-            onResponseEnded(this, hasAnnouncedToKeep)
+            onResponseEnded(this, hasAnnouncedToKeep == true)
         }
 
         override fun abort() {
@@ -406,6 +408,12 @@
 
         fun releaseBody() = received.body.release()
 
+        /** Ends the exchange and the work for it after a fault of the gateway; the request may have been passed on. */
+        fun endAfterFault() {
+            if (hasAnnouncedToKeep == null) respond(ResponseHead(BAD_GATEWAY, Headers.EMPTY), ByteArray(0)) else abort()
+            onCallerGone()
+        }
+
         private fun keepsConnection(): Boolean =
             received.keepsConnection && !received.isBeforeHttp11 && (!server.isDraining || hasReceivedMore)
 
@@ -419,6 +427,7 @@
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
         const val NO_CONTENT = 204
+        const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
 
         /** The number of requests that wait on one connection above which no more are read. */
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/ForwardingTest.kt
@@ -71,7 +71,8 @@
                     upstreams[0].calls.last().numberOnConnection shouldBe 1
                 }
             }
-            it("that fails inside the gateway closes its connection, and others are served") {
+            // A request that failed inside the gateway got the end of its connection in place of an answer.
+            it("that fails inside the gateway gets an answer that promises nothing, and others are served") {
                 FakeUpstream { it.respond("done") }.use { upstream ->
                     TestGateway(listOf(upstream.address to null)).use { gateway ->
                         gateway.caller().use { failing ->
@@ -80,7 +81,10 @@
                                     failing.send(get(TestGateway.FAILING_PATH, "1"))
                                     sound.send(get("/i/x", "2"))
                                 }
-                                failing.readResponse().shouldBeNull()
+                                val answer = failing.readResponse().shouldNotBeNull()
+                                answer.status shouldBe 502
+                                answer.body shouldBe ""
+                                failing.request(get("/i/x", "3")).body shouldBe "done"
                                 sound.readResponse().shouldNotBeNull().body shouldBe "done"
                             }
                         }
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/RequestMemoryTest.kt
@@ -100,8 +100,10 @@
             it("is freed when its caller leaves while it waits behind another, and when the gateway fails") {
                 gateway.caller().use {
                     it.send(head(BODY_BYTES, TestGateway.FAILING_PATH) + "b".repeat(BODY_BYTES))
+                    it.readResponse().shouldNotBeNull().status shouldBe 502
+                    gateway.awaitHeldBytes(0)
+                    it.send(head(BODY_BYTES) + "b".repeat(BODY_BYTES))
                     it.send(head(BODY_BYTES) + "b".repeat(BODY_BYTES))
-                    it.isClosed() shouldBe true
                 }
                 gateway.awaitHeldBytes(0)
             }
