Report connections that can't be created on the event loop thread

Netty reports that a channel could not be created, as when descriptors are used up, from a thread of its own. The pool passed that on to the session there, so that two threads changed the state of sessions, which no part of the gateway expects: what a caller then gets is undefined. Found by reading; no such run was made with real processes.

UpstreamPoolTest: reported on another thread before (this change without the hop), on the event loop after.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFactory
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -9,11 +10,20 @@
 import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.GatewayMetrics
+import marigoldward.gateway.loggedTask
 import marigoldward.support.settings.parseAddressOrNull
 import marigoldward.support.time.MonotonicClock
 
-/** A pool of connections to all upstreams. Confined to the event loop thread. */
-internal class UpstreamPool(private val loop: EventLoop, private val dialect: Dialect) {
+/**
+ * A pool of connections to all upstreams. Confined to the event loop thread.
+ *
+ * @param newChannel creates the channel of a connection; throws if the process has no descriptor left for it
+ */
+internal class UpstreamPool(
+    private val loop: EventLoop,
+    private val dialect: Dialect,
+    newChannel: () -> UpstreamChannel = ::UpstreamChannel,
+) {
     private val idle = HashMap<UpstreamId, ArrayDeque<UpstreamConnection>>()
 
     /** The upstreams whose last response to a request with an id bore none. */
@@ -21,7 +31,7 @@
     private val bootstrap =
         Bootstrap()
             .group(loop)
-            .channelFactory(ChannelFactory { UpstreamChannel() })
+            .channelFactory(ChannelFactory { newChannel() })
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 
@@ -36,7 +46,7 @@
         val address = parseAddressOrNull(upstream.address) ?: return onResult(false)
         GatewayMetrics.connectionsOpened.inc()
         val connectFuture = bootstrap.clone().handler(Initializer(upstream.id)).connect(address)
-        connectFuture.addListener {
+        onLoopWhenDone(connectFuture) {
             if (connectFuture.isSuccess) {
                 addIdle(upstream.id, connectFuture.channel().pipeline().get(UpstreamConnection::class.java))
             }
@@ -99,7 +109,7 @@
         }
         GatewayMetrics.connectionsOpened.inc()
         val connectFuture = bootstrap.clone().handler(Initializer(call.upstream.id)).connect(address)
-        connectFuture.addListener {
+        onLoopWhenDone(connectFuture) {
             when {
                 !connectFuture.isSuccess -> reportUnreachable(call, connectFuture.cause())
                 call.isCancelled -> connectFuture.channel().close()
@@ -108,6 +118,11 @@
         }
     }
 
+    /** Runs [action] on the event loop thread; Netty reports from another one that a channel could not be created. */
+    private fun onLoopWhenDone(connectFuture: ChannelFuture, action: () -> Unit) {
+        connectFuture.addListener { if (loop.inEventLoop()) action() else loop.execute(loggedTask(action)) }
+    }
+
     private fun reportUnreachable(call: UpstreamCall, cause: Throwable?) {
         if (call.isCancelled) return
         call.listener.onFailure(UpstreamFailure.Unreachable(cause?.message ?: "no connection"))
--- a/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamPoolTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamPoolTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.netty.channel.ChannelException
 import io.netty.channel.nio.NioEventLoopGroup
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.DataCentre
@@ -92,4 +93,23 @@
                 secondBody(answer("1", "first") + "garbage garbage\r\n\r\n") shouldBe "own"
             }
         }
+        // Guards against sessions that are changed by two threads, as a failure to create a channel came from another one.
+        describe("a call without a descriptor for its connection") {
+            it("fails on the event loop thread") {
+                val group = NioEventLoopGroup(1)
+                val loop = group.next()
+                val isOnLoop = CompletableFuture<Boolean>()
+                val listener = object : UpstreamListener by BodyListener() {
+                    override fun onFailure(failure: UpstreamFailure) {
+                        isOnLoop.complete(loop.inEventLoop() && failure is UpstreamFailure.Unreachable)
+                    }
+                }
+                FakeUpstream { }.use { upstream ->
+                    val pool = UpstreamPool(loop, TestDialect) { throw ChannelException("Too many open files") }
+                    loop.execute { pool.send(call(upstream, "1", listener)) }
+                    isOnLoop.get(5, TimeUnit.SECONDS) shouldBe true
+                }
+                group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync()
+            }
+        }
     })
