Apply a changed limit of heads to open connections

What callers saw: a head within the limit in force was refused with 431, or one beyond it accepted, on a connection that was open before the configuration changed; it kept the limit for as long as callers used it.

Cause: the decoder of a connection had the limits of when it was accepted, also of an entry without a configuration. It is replaced between two requests now.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -61,6 +61,10 @@
     val isIdle: Boolean
         get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null && !hasUnsentBytes
 
+    /** Whether all that was received belongs to requests that are complete. */
+    val isBetweenRequests: Boolean
+        get() = incoming == null && headStartedMillis == null && !isClosing && rejectionStatus == null
+
     /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
     private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -89,12 +89,19 @@
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val connection = CallerConnection(this@CallerServer)
-            channel.pipeline().addLast(ReceiveNotifier(connection), RequestDecoder(limits), connection)
+            val decoder = RequestDecoder(limits)
+            channel.pipeline().addLast(ReceiveNotifier(connection, decoder), decoder, connection)
         }
     }
 
-    private class ReceiveNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+    private inner class ReceiveNotifier(private val connection: CallerConnection, private var decoder: RequestDecoder) :
+        ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (decoder.limits != limits && connection.isBetweenRequests && !decoder.hasUndecodedBytes) {
+                val next = RequestDecoder(limits)
+                context.pipeline().replace(decoder, null, next)
+                decoder = next
+            }
             connection.onBytesReceived()
             context.fireChannelRead(message)
         }
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -40,7 +40,7 @@
 internal class TestGateway(
     upstreams: List<Pair<String, EngineStage?>>,
     isConfigured: Boolean = true,
-    private val limits: CallerLimits = CallerLimits.DEFAULT,
+    @Volatile var limits: CallerLimits = CallerLimits.DEFAULT,
     timeoutMillis: Long = 1_500,
     private val targetLatencyMillis: Long = 200,
     private val handlingMillis: Long = 0,
