--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.Http1Encoder
@@ -34,11 +35,13 @@
     private val queued = ArrayDeque<IncomingRequest>()
     private var current: Exchange? = null
     private var isClosing = false
+
+    /** The status of the response to what follows the requests in [queued] and is no valid request, or null if none. */
+    private var rejectionStatus: Int? = null
+    private var hasDroppedRequest = false
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
-    private val acceptedMillis = MonotonicClock.nowMillis()
-    private var hasReceivedBytes = false
-    private var lastReceivedMillis = acceptedMillis
+    private var lastReceivedMillis = idleSinceMillis
     private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
@@ -58,16 +61,40 @@
     val isIdle: Boolean
         get() = current == null && incoming == null && queued.isEmpty() && headStartedMillis == null && !hasUnsentBytes
 
+    /** Whether all that was received belongs to requests that are complete. */
+    val isBetweenRequests: Boolean
+        get() = incoming == null && headStartedMillis == null && !isClosing && rejectionStatus == null
+
     /** Whether the socket has not taken all that was written, as the caller reads it slowly. */
     private val hasUnsentBytes: Boolean get() = lastWrite?.isDone == false
 
-    /** Whether nothing was received yet on a connection so new that its first request is probably on its way. */
-    val isAwaitingFirstRequest: Boolean
-        get() = !hasReceivedBytes && MonotonicClock.nowMillis() - acceptedMillis < FIRST_REQUEST_MILLIS
+    /** Whether a part of what follows the current request has come, which its caller has sent without notice of a close. */
+    private val hasReceivedMore: Boolean
+        get() = queued.isNotEmpty() || incoming != null || headStartedMillis != null || rejectionStatus != null
 
-    /** Closes the connection if it is idle, unless it is awaiting its first request. */
+    /**
+     * Whether a request is probably on its way: the connection is idle, and is new or has just carried a response that let
+     * the caller keep it.
+     */
+    val isAwaitingRequest: Boolean
+        get() = isIdle && !isClosing && MonotonicClock.nowMillis() - idleSinceMillis < NEXT_REQUEST_MILLIS
+
+    /** Closes the connection if it is idle, unless a request is probably on its way or in the socket already. */
     fun closeIfIdle() {
-        if (isIdle && !isAwaitingFirstRequest) closeGracefully()
+        if (!isIdle || isAwaitingRequest || isClosing) return
+        val sinceMillis = idleSinceMillis
+        // Only a delayed task lets the loop read before it runs.
+        context.executor().schedule(
+            { if (isIdle && idleSinceMillis == sinceMillis) closeGracefully() },
+            1,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    /** Refuses the request that is still being received, if there is one, as not run. */
+    fun refuseIncomplete() {
+        if (isClosing || rejectionStatus != null || incoming == null && headStartedMillis == null) return
+        rejectRequest(UNAVAILABLE, "the request was not complete when the gateway ended")
     }
 
     /** Closes the connection at once with a TCP reset. */
@@ -105,7 +132,11 @@
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject && !isClosing) handle(message)
+            when {
+                message !is HttpObject -> Unit
+                isClosing || rejectionStatus != null -> drop(message)
+                else -> handle(message)
+            }
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -113,11 +144,28 @@
 
     /** Starts the time limit for the request head. Called when bytes were received, before they are decoded. */
     fun onBytesReceived() {
-        hasReceivedBytes = true
         lastReceivedMillis = MonotonicClock.nowMillis()
         if (incoming == null && headStartedMillis == null) headStartedMillis = MonotonicClock.nowMillis()
     }
 
+    /** Logs the first request that comes while the connection is being closed. */
+    private fun drop(message: HttpObject) {
+        if (message is HttpRequest && message.decoderResult().isSuccess) recordDropped("closing", message.uri())
+    }
+
+    /** Logs and counts a request that gets no answer though its caller has not left; once for each connection. */
+    private fun recordDropped(reason: String, target: String) {
+        if (hasDroppedRequest) return
+        hasDroppedRequest = true
+        GatewayMetrics.recordRequestDropped(reason)
+        log.info("request_dropped") {
+            field("caller", context.channel().remoteAddress())
+            field("target", target)
+            field("reason", reason)
+            field("since_answer_ms", MonotonicClock.nowMillis() - idleSinceMillis)
+        }
+    }
+
     private fun handle(message: HttpObject) {
         if (message.decoderResult().isFailure) {
             rejectRequest(statusOf(message.decoderResult().cause()), message.decoderResult().cause().message)
@@ -208,12 +256,13 @@
         if (current === exchange && context.channel().isActive) {
             try {
                 server.handle(exchange)
-            } catch (failure: RuntimeException) {
+            } catch (failure: Throwable) {
                 log.warn("request_failed") {
                     field("target", exchange.request.head.target)
                     field("reason", failure)
+                    field("at", failure.stackTrace.firstOrNull())
                 }
-                context.close()
+                exchange.endAfterFault()
             }
             return
         }
@@ -224,7 +273,10 @@
         }
     }
 
-    /** Rejects a malformed request and closes the connection, as the bytes after it cannot be interpreted. */
+    /**
+     * Rejects a malformed request, after those before it were answered, and closes the connection, as the bytes after it
+     * cannot be interpreted.
+     */
     private fun rejectRequest(status: Int, reason: String?) {
         log.info("request_not_understood") {
             field("caller", context.channel().remoteAddress())
@@ -232,8 +284,11 @@
             field("reason", reason)
         }
         dropIncoming()
-        isClosing = true
-        if (current != null) return
+        rejectionStatus = status
+        if (current == null) sendRejection(status)
+    }
+
+    private fun sendRejection(status: Int) {
         val head = ResponseHead(status, Headers.of("Connection" to "close"))
         write(Http1Encoder.responseHead(context.alloc(), head, "Content-Length: 0"))
         closeGracefully()
@@ -243,9 +298,17 @@
         if (current !== exchange) return
         endCurrent()
         idleSinceMillis = MonotonicClock.nowMillis()
-        if (!keepsConnection || isClosing) return closeGracefully()
+        if (!keepsConnection) {
+            queued.firstOrNull()?.let { recordDropped("queued", it.head.target) }
+            return closeGracefully()
+        }
         val next = dequeueOrNull()
-        if (next != null) startExchange(next) else askForBody()
+        val rejection = rejectionStatus
+        when {
+            next != null -> startExchange(next)
+            rejection != null -> sendRejection(rejection)
+            else -> askForBody()
+        }
     }
 
     /** Closes the connection once the socket has taken all responses. */
@@ -277,12 +340,12 @@
         val headMillis = headStartedMillis?.let { nowMillis - it } ?: 0
         val isOverdue = current == null && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis
         when {
-            !isClosing && headMillis > server.limits.headerTimeoutMillis ->
+            !isClosing && rejectionStatus == null && headMillis > server.limits.headerTimeoutMillis ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
             isOverdue && isBodyStalled(nowMillis) ->
                 rejectRequest(REQUEST_TIMEOUT, "the rest of the request body did not come in time")
             isOverdue && hasUnsentBytes -> resetSlowCaller()
-            isOverdue && isIdle -> closeGracefully()
+            isOverdue -> closeIfIdle()
         }
         context.executor().schedule(::checkTimeouts, TIMEOUT_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
@@ -305,6 +368,9 @@
         override val isWritable: Boolean get() = context.channel().isWritable
         private val isHead = request.head.method == "HEAD"
 
+        /** Whether the head of the response has let the caller keep the connection, or null before it was sent. */
+        private var hasAnnouncedToKeep: Boolean? = null
+
         private val isCurrent: Boolean get() = current === this
 
         override fun respond(head: ResponseHead, body: ByteArray) {
@@ -319,7 +385,9 @@
         override fun beginResponse(head: ResponseHead) {
             if (!isCurrent) return
             val framing = if (received.isBeforeHttp11) null else "Transfer-Encoding: chunked"
-            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection()), framing))
+            val keepsConnection = keepsConnection()
+            hasAnnouncedToKeep = keepsConnection
+            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection), framing))
         }
 
         override fun sendPart(data: ByteArray) {
@@ -332,7 +400,7 @@
         override fun endResponse() {
             if (!isCurrent) return
             if (!received.isBeforeHttp11 && !isHead) write(Http1Encoder.lastChunk(context.alloc()))
-            onResponseEnded(this, keepsConnection())
+            onResponseEnded(this, hasAnnouncedToKeep == true)
         }
 
         override fun abort() {
@@ -344,8 +412,14 @@
 
         fun releaseBody() = received.body.release()
 
+        /** Ends the exchange and the work for it after a fault of the gateway; the request may have been passed on. */
+        fun endAfterFault() {
+            if (hasAnnouncedToKeep == null) respond(ResponseHead(BAD_GATEWAY, Headers.EMPTY), ByteArray(0)) else abort()
+            onCallerGone()
+        }
+
         private fun keepsConnection(): Boolean =
-            received.keepsConnection && !received.isBeforeHttp11 && !server.isDraining && !isClosing
+            received.keepsConnection && !received.isBeforeHttp11 && (!server.isDraining || hasReceivedMore)
 
         private fun withConnection(head: ResponseHead, keepsConnection: Boolean): ResponseHead =
             if (keepsConnection) head else head.copy(headers = head.headers.plus("Connection", "close"))
@@ -357,12 +431,14 @@
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
         const val NO_CONTENT = 204
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
 
         /** The number of requests that wait on one connection above which no more are read. */
         const val MAX_QUEUED_REQUESTS = 64
 
-        /** How long the request for which a caller has opened a connection takes to arrive, at most. */
-        const val FIRST_REQUEST_MILLIS = 500L
+        /** How long the request for which a caller has opened or kept a connection takes to arrive, as a rule. */
+        const val NEXT_REQUEST_MILLIS = 500L
 
         /** How long the caller has to read the last response before the connection is closed. */
         const val LINGER_MILLIS = 1_000L
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -38,8 +38,8 @@
     /** Whether connections are closed after their current response. */
     var isDraining: Boolean = false
 
-    /** Whether any connection is not idle, or is awaiting its first request. */
-    val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingFirstRequest }
+    /** Whether any connection is not idle, or a request is probably on its way. */
+    val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingRequest }
 
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
@@ -63,11 +63,16 @@
         listenChannel?.close()
     }
 
-    /** Closes the idle connections, but for those that are awaiting their first request. */
+    /** Closes the idle connections, but for those on which a request is probably on its way. */
     fun closeIdle() {
         connections.toList().forEach(CallerConnection::closeIfIdle)
     }
 
+    /** Refuses the requests that are still being received, as not run. */
+    fun refuseIncomplete() {
+        connections.toList().forEach(CallerConnection::refuseIncomplete)
+    }
+
     /** Resets all connections, as the end of the process does. */
     fun resetAll() {
         connections.toList().forEach(CallerConnection::reset)
@@ -84,12 +89,19 @@
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val connection = CallerConnection(this@CallerServer)
-            channel.pipeline().addLast(ReceiveNotifier(connection), RequestDecoder(limits), connection)
+            val decoder = RequestDecoder(limits)
+            channel.pipeline().addLast(ReceiveNotifier(connection, decoder), decoder, connection)
         }
     }
 
-    private class ReceiveNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+    private inner class ReceiveNotifier(private val connection: CallerConnection, private var decoder: RequestDecoder) :
+        ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (decoder.limits != limits && connection.isBetweenRequests && !decoder.hasUndecodedBytes) {
+                val next = RequestDecoder(limits)
+                context.pipeline().replace(decoder, null, next)
+                decoder = next
+            }
             connection.onBytesReceived()
             context.fireChannelRead(message)
         }
