Take a settings file without an end line for whole once it has stayed the same

Cause: the check for a file that is being written asked for a mark that valid files of before don't have. Class of fault: a new requirement on input that was valid. A marked file is used at once, another one after a second without a change, at the start as on a change; one that was cut short by chance where it is valid is still not used while it is written.

--- a/control/src/main/kotlin/marigoldward/control/Main.kt
+++ b/control/src/main/kotlin/marigoldward/control/Main.kt
@@ -34,7 +34,7 @@
     if (isNewCluster) {
         initialise(Program.loadSettings(file, ControlSettings::read))
     } else {
-        run(Program.awaitSettings(file, ControlSettings::read).settings)
+        run(Program.awaitSettings(file, read = ControlSettings::read).settings)
     }
 }
 
--- a/controller/src/main/kotlin/marigoldward/controller/Main.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/Main.kt
@@ -7,6 +7,6 @@
 public fun main(arguments: Array<String>) {
     HangupSignal.install()
     val file = Program.settingsFile("marigoldward-controller", arguments)
-    val settings = Program.awaitSettings(file, ControllerSettings::read).settings
+    val settings = Program.awaitSettings(file, read = ControllerSettings::read).settings
     Program.run { ControllerProgram.start(settings) }
 }
--- a/entry/src/main/kotlin/marigoldward/entry/Main.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/Main.kt
@@ -7,6 +7,6 @@
 public fun main(arguments: Array<String>) {
     HangupSignal.install()
     val file = Program.settingsFile("marigoldward-entry", arguments)
-    val settings = Program.awaitSettings(file, EntrySettings::read).settings
+    val settings = Program.awaitSettings(file, read = EntrySettings::read).settings
     Program.run { EntryProgram.start(settings) }
 }
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -61,8 +61,12 @@
      * Reads a file that is missing or invalid again for [SettingsFile.MAX_WAIT_MILLIS]. Then prints all problems, logs
      * why the process ends, and ends it with [EXIT_USAGE].
      */
-    public fun <T> awaitSettings(file: File, read: (IniDocument, ProblemList) -> T): SettingsFile.Loaded<T> =
-        when (val loaded = SettingsFile.awaitValid(file, read = read)) {
+    public fun <T> awaitSettings(
+        file: File,
+        readSettled: ((IniDocument, ProblemList) -> T)? = null,
+        read: (IniDocument, ProblemList) -> T,
+    ): SettingsFile.Loaded<T> =
+        when (val loaded = SettingsFile.awaitValid(file, readSettled = readSettled, read = read)) {
             is Outcome.Success -> loaded.value
             is Outcome.Failure -> endWithProblems("settings_not_valid", loaded.error)
         }
--- a/support/src/main/kotlin/marigoldward/support/program/SettingsFile.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/SettingsFile.kt
@@ -2,6 +2,8 @@
 
 import marigoldward.core.Outcome
 import marigoldward.core.config.SourceFile
+import marigoldward.core.flatMap
+import marigoldward.core.getOrNull
 import marigoldward.support.log.EventLog
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
@@ -24,14 +26,13 @@
     public data class Loaded<T>(val source: SourceFile, val settings: T)
 
     /** Returns the settings that [read] gets from [file], or all problems: at least one. */
-    public fun <T> load(file: File, read: (IniDocument, ProblemList) -> T): Outcome<Loaded<T>, List<SettingsProblem>> {
-        val source =
-            try {
-                SourceFile(file.path, file.readText())
-            } catch (failure: IOException) {
-                return Outcome.Failure(listOf(SettingsProblem(file.path, 0, "cannot be read: ${failure.message}")))
-            }
-        return parse(source, read)
+    public fun <T> load(file: File, read: (IniDocument, ProblemList) -> T): Outcome<Loaded<T>, List<SettingsProblem>> =
+        contentOf(file).flatMap { parse(it, read) }
+
+    private fun contentOf(file: File): Outcome<SourceFile, List<SettingsProblem>> = try {
+        Outcome.Success(SourceFile(file.path, file.readText()))
+    } catch (failure: IOException) {
+        Outcome.Failure(listOf(SettingsProblem(file.path, 0, "cannot be read: ${failure.message}")))
     }
 
     /** Returns the settings that [read] gets from [source], or all problems: at least one. */
@@ -50,33 +51,57 @@
     /**
      * Returns the same as [load], but reads a file that is missing or invalid again for [maxWaitMillis], because it may
      * be being written. Returns as soon as the file is valid; otherwise returns the problems of the last reading.
+     *
+     * @param readSettled gets the settings from a file that has stayed the same for [SettledContent.SETTLED_MILLIS], if
+     *   [read] refuses it; null if [read] has the last word
      */
     public fun <T> awaitValid(
         file: File,
         maxWaitMillis: Long = MAX_WAIT_MILLIS,
+        readSettled: ((IniDocument, ProblemList) -> T)? = null,
         read: (IniDocument, ProblemList) -> T,
     ): Outcome<Loaded<T>, List<SettingsProblem>> {
         val startMillis = MonotonicClock.nowMillis()
-        val first = load(file, read)
-        if (first !is Outcome.Failure) return first
-        log.warn("settings_awaited") {
-            field("file", file)
-            field("problem", first.error.first())
-            field("problems", first.error.size)
-            field("max_wait_ms", maxWaitMillis)
-        }
+        val settled = SettledContent()
+        var isLogged = false
         while (true) {
-            Thread.sleep(RETRY_MILLIS)
-            val result = load(file, read)
-            val waitedMillis = MonotonicClock.nowMillis() - startMillis
-            if (result is Outcome.Success) {
-                log.info("settings_valid") {
-                    field("file", file)
-                    field("waited_ms", waitedMillis)
+            val content = contentOf(file)
+            val nowMillis = MonotonicClock.nowMillis()
+            val isSettled = settled.isSettled(content.getOrNull()?.text, nowMillis)
+            val result = content.flatMap { source ->
+                val refused = parse(source, read)
+                if (refused is Outcome.Success || readSettled == null || !isSettled) {
+                    refused
+                } else {
+                    parse(source, readSettled).takeIf { it is Outcome.Success } ?: refused
+                }
+            }
+            val waitedMillis = nowMillis - startMillis
+            when (result) {
+                is Outcome.Success -> {
+                    if (isLogged) logValid(file, waitedMillis)
+                    return result
+                }
+                is Outcome.Failure -> {
+                    if (!isLogged) logAwaited(file, result.error, maxWaitMillis)
+                    isLogged = true
+                    if (waitedMillis >= maxWaitMillis) return result
                 }
-                return result
             }
-            if (waitedMillis >= maxWaitMillis) return result
+            Thread.sleep(RETRY_MILLIS)
         }
     }
+
+    private fun logAwaited(file: File, problems: List<SettingsProblem>, maxWaitMillis: Long) =
+        log.warn("settings_awaited") {
+            field("file", file)
+            field("problem", problems.first())
+            field("problems", problems.size)
+            field("max_wait_ms", maxWaitMillis)
+        }
+
+    private fun logValid(file: File, waitedMillis: Long) = log.info("settings_valid") {
+        field("file", file)
+        field("waited_ms", waitedMillis)
+    }
 }
--- a/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
+++ b/support/src/main/kotlin/marigoldward/support/settings/IniDocument.kt
@@ -58,6 +58,10 @@
          */
         public const val END_LINE: String = "# end of settings"
 
+        /** Whether the last line of [source], blank ones apart, is [END_LINE]. */
+        public fun hasEndLine(source: SourceFile): Boolean =
+            source.text.trimEnd().substringAfterLast('\n').trim() == END_LINE
+
         /** Returns the document, or all problems of its structure. */
         public fun parse(source: SourceFile): Outcome<IniDocument, List<SettingsProblem>> {
             val problems = ProblemList.create()
--- a/support/src/test/kotlin/marigoldward/support/program/SettingsFileTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/SettingsFileTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import marigoldward.core.config.SourceFile
 import marigoldward.core.errorOrNull
 import marigoldward.core.getOrNull
 import marigoldward.support.settings.IniDocument
@@ -18,6 +19,10 @@
 
 private fun read(document: IniDocument, problems: ProblemList): Long {
     document.requireEndLine(problems)
+    return readUnmarked(document, problems)
+}
+
+private fun readUnmarked(document: IniDocument, problems: ProblemList): Long {
     val section = document.section("program", problems)
     return section.integer("first", 1L..9L) + section.integer("second", 1L..9_999L)
 }
@@ -72,6 +77,42 @@
                 millis shouldBeLessThan 50L
             }
         }
+        // Guards against a process that refuses settings files which were written without the last line.
+        describe("a valid settings file without the last line that marks it as whole") {
+            val unmarked = VALID.substringBefore('#')
+            it("is read once it has stayed the same for a second") {
+                val file = newFile().apply { writeText(unmarked) }
+                val (loaded, millis) = timed {
+                    SettingsFile.awaitValid(file, readSettled = ::readUnmarked, read = ::read)
+                }
+                loaded.getOrNull()?.settings shouldBe 2_001L
+                millis.shouldBeBetween(1_000L, 2_500L)
+            }
+            it("is not read while it is written") {
+                val file = newFile().apply { writeText(unmarked.dropLast(2)) }
+                val writer = thread {
+                    Thread.sleep(500)
+                    file.writeText(unmarked)
+                }
+                val loaded = SettingsFile.awaitValid(file, readSettled = ::readUnmarked, read = ::read)
+                loaded.getOrNull()?.settings shouldBe 2_001L
+                writer.join()
+            }
+            it("is passed on by a watch once it has stayed the same for a second") {
+                val file = newFile().apply { writeText(VALID) }
+                val texts = ArrayList<String>()
+                val watch = SettingsWatch.start(SourceFile(file.path, VALID), IniDocument::hasEndLine) {
+                    texts.add(it.text)
+                }
+                file.writeText(unmarked)
+                watch.check()
+                texts shouldHaveSize 0
+                Thread.sleep(1_100)
+                watch.check()
+                watch.check()
+                texts shouldBe listOf(unmarked)
+            }
+        }
         describe("a settings file that stays wrong") {
             it("is reported with all its problems after a bounded time") {
                 val file = newFile().apply { writeText("[program]\nfirst = 0\n") }
