Append a promotion only once the learner and a quorum have replied

Seen by operators: none of the control instances answers any more, for good, if a replacement dies while it takes the place of an instance that never comes back.

Cause: promotes the replacement before the silent voter is removed. The promotion is in force once it is appended, and with one of four voters silent its quorum needs the learner, which counted as live if it had replied in the last election timeout. Class of fault: a check uses what was known earlier for a step that can't be taken back.

The leader starts a round, and appends the promotion when the learner and enough others for a quorum of the members after it have replied to that round. Single-server changes are as before: the entry, its quorum and the checks of the other changes.

--- a/core/src/main/kotlin/marigoldward/core/replication/Replica.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/Replica.kt
@@ -44,6 +44,7 @@
                 is ReplicaMessage.Install -> FollowerReplication.handleInstall(current, event.from, message, nowMillis)
                 is ReplicaMessage.AppendReply ->
                     LeaderReplication.handleAppendReply(current, event.from, message, nowMillis)
+                        .then { MembershipChanges.appendConfirmedPromotion(it, nowMillis) }
             }
         }
     }
--- a/core/src/main/kotlin/marigoldward/core/replication/ReplicaRole.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/ReplicaRole.kt
@@ -22,12 +22,14 @@
      * @property round the number of the newest broadcast
      * @property nextHeartbeatMillis when the next broadcast is due, in milliseconds of monotonic time
      * @property pendingReads the leadership checks that no quorum has confirmed yet
+     * @property pendingPromotion the promotion that waits for replies, or null
      */
     public data class Leader(
         val progress: PersistentMap<ReplicaId, Progress>,
         val round: Long,
         val nextHeartbeatMillis: Long,
         val pendingReads: PersistentList<PendingRead>,
+        val pendingPromotion: PendingPromotion? = null,
     ) : ReplicaRole
 
     /**
@@ -48,4 +50,10 @@
 
     /** A leadership check that is confirmed once a quorum has replied to [round] or a later one. */
     public data class PendingRead(val requestId: Long, val round: Long)
+
+    /**
+     * A promotion of the learner [replica] that is appended once the learner, and enough other members for a quorum that
+     * includes it, have replied to [round] or a later one.
+     */
+    public data class PendingPromotion(val requestId: Long, val replica: ReplicaId, val round: Long)
 }
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderElection.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderElection.kt
@@ -68,7 +68,7 @@
         val follower = state.withElectionDeadline(nowMillis).copy(role = ReplicaRole.Follower(null))
         val role = state.role
         if (role !is ReplicaRole.Leader) return follower.withoutActions()
-        val rejections = LeaderReplication.rejectPendingReads(role)
+        val rejections = LeaderReplication.rejectPending(role)
         return ReplicaStep(follower, rejections + ReplicaAction.LeadershipLost)
     }
 
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderReplication.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/LeaderReplication.kt
@@ -96,8 +96,11 @@
             .then { stepDownIfRemoved(it, nowMillis) }
     }
 
-    fun rejectPendingReads(role: ReplicaRole.Leader): List<ReplicaAction> =
-        role.pendingReads.map { ReplicaAction.Refused(it.requestId, ReplicaRefusal.NotLeader(null)) }
+    /** Refuses what waits for replies to this leader, which steps down. */
+    fun rejectPending(role: ReplicaRole.Leader): List<ReplicaAction> {
+        val requestIds = role.pendingReads.map { it.requestId } + listOfNotNull(role.pendingPromotion?.requestId)
+        return requestIds.map { ReplicaAction.Refused(it, ReplicaRefusal.NotLeader(null)) }
+    }
 
     fun hasCommittedInTerm(state: ReplicaState): Boolean =
         state.log.termAtOrNull(state.commitIndex) == state.hardState.term
@@ -144,7 +147,7 @@
     }
 
     /** Starts a new round, in which each other member is sent its next entries, or a heartbeat if there are none. */
-    private fun startRound(state: ReplicaState, nowMillis: Long): ReplicaStep {
+    fun startRound(state: ReplicaState, nowMillis: Long): ReplicaStep {
         val role = state.role as ReplicaRole.Leader
         val next = role.copy(round = role.round + 1, nextHeartbeatMillis = nowMillis + state.timing.heartbeatMillis)
         return sendNextEntriesToAll(state.copy(role = next))
--- a/core/src/main/kotlin/marigoldward/core/replication/internal/MembershipChanges.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/internal/MembershipChanges.kt
@@ -11,17 +11,73 @@
 import marigoldward.core.replication.ReplicaState
 import marigoldward.core.replication.ReplicaStep
 import marigoldward.core.replication.withActions
+import marigoldward.core.replication.withoutActions
 
-/** Membership changes of a leader: one member at a time, and only if the change can't cost the cluster its quorum. */
+/**
+ * Membership changes of a leader: one member at a time, and only if the change can't cost the cluster its quorum.
+ *
+ * A promotion is in force once it is appended, and can't be committed without a quorum that may need the learner, so it
+ * waits for replies of such a quorum to a round that starts after the request. What remains is the time between the
+ * learner's reply and its receipt of the entry: if it is lost in this round trip while another voter is lost for good,
+ * the cluster has no quorum any more. Only a joint quorum of the members before and after would avoid this.
+ */
 internal object MembershipChanges {
     /** How many entries a learner may still lack when it is promoted or replaces a voter. */
     private const val MAX_LAG_ENTRIES = 64L
 
     fun changeMembers(state: ReplicaState, event: ReplicaEvent.ChangeMembers, nowMillis: Long): ReplicaStep {
-        val refusal = refusalOrNull(state, event.change, nowMillis)
+        val change = event.change
+        val refusal = refusalOrNull(state, change, nowMillis) ?: pendingRefusalOrNull(state, change)
         if (refusal != null) return state.withActions(ReplicaAction.Refused(event.requestId, refusal))
-        val members = membersAfter(state.log.members, event.change)
-        return LeaderReplication.appendAndSend(state, event.requestId, EntryPayload.MembersChange(members), nowMillis)
+        return dropPendingPromotion(state).then {
+            if (change is MemberChange.Promote) {
+                startPromotion(it, event.requestId, change.replica, nowMillis)
+            } else {
+                append(it, event.requestId, change, nowMillis)
+            }
+        }
+    }
+
+    /** Appends the promotion that waits for replies, if there is one and those needed have arrived. */
+    fun appendConfirmedPromotion(state: ReplicaState, nowMillis: Long): ReplicaStep {
+        val role = state.role as? ReplicaRole.Leader ?: return state.withoutActions()
+        val pending = role.pendingPromotion ?: return state.withoutActions()
+        val change = MemberChange.Promote(pending.replica)
+        val replied = role.progress.filterValues { it.acknowledgedRound >= pending.round }.keys + state.self
+        val isConfirmed = pending.replica in replied && membersAfter(state.log.members, change).isQuorum(replied)
+        if (!isConfirmed || refusalOrNull(state, change, nowMillis) != null) return state.withoutActions()
+        return append(state.copy(role = role.copy(pendingPromotion = null)), pending.requestId, change, nowMillis)
+    }
+
+    private fun startPromotion(
+        state: ReplicaState,
+        requestId: Long,
+        replica: ReplicaId,
+        nowMillis: Long,
+    ): ReplicaStep {
+        val role = state.role as ReplicaRole.Leader
+        val pending = ReplicaRole.PendingPromotion(requestId, replica, role.round + 1)
+        return LeaderReplication.startRound(state.copy(role = role.copy(pendingPromotion = pending)), nowMillis)
+    }
+
+    private fun dropPendingPromotion(state: ReplicaState): ReplicaStep {
+        val role = state.role as ReplicaRole.Leader
+        val pending = role.pendingPromotion ?: return state.withoutActions()
+        val refusal = ReplicaRefusal.ChangeInProgress("another change was requested before ${pending.replica} replied")
+        return state
+            .copy(role = role.copy(pendingPromotion = null))
+            .withActions(ReplicaAction.Refused(pending.requestId, refusal))
+    }
+
+    private fun pendingRefusalOrNull(state: ReplicaState, change: MemberChange): ReplicaRefusal? {
+        val pending = (state.role as? ReplicaRole.Leader)?.pendingPromotion ?: return null
+        if (change != MemberChange.Promote(pending.replica)) return null
+        return ReplicaRefusal.ChangeInProgress("${pending.replica} waits for its promotion")
+    }
+
+    private fun append(state: ReplicaState, requestId: Long, change: MemberChange, nowMillis: Long): ReplicaStep {
+        val members = membersAfter(state.log.members, change)
+        return LeaderReplication.appendAndSend(state, requestId, EntryPayload.MembersChange(members), nowMillis)
     }
 
     private fun membersAfter(members: Members, change: MemberChange): Members = when (change) {
--- a/core/src/test/kotlin/marigoldward/core/replication/ReplacementRun.kt
+++ b/core/src/test/kotlin/marigoldward/core/replication/ReplacementRun.kt
@@ -11,17 +11,23 @@
 
 /**
  * Three replicas and a spare one. A replica is frozen, so that the spare one takes its place; at a given moment the disk
- * of another is lost, and later the frozen one thaws.
+ * of another is lost, and later the frozen one thaws unless [comesBack] is false.
  *
- * Messages take one step and aren't lost, except those to a frozen replica.
+ * Messages take one step and aren't lost, except those to a frozen replica. The leader plans changes of members every
+ * [planPeriodSteps].
  */
-internal class ReplacementRun(private val isLeaderFrozen: Boolean, private val stepMillis: Long) :
-    ScheduledReplica.Observer {
+internal class ReplacementRun(
+    private val isLeaderFrozen: Boolean,
+    private val stepMillis: Long,
+    private val comesBack: Boolean = true,
+    private val planPeriodSteps: Long = 1,
+) : ScheduledReplica.Observer {
     /** The replica whose disk is lost. */
     enum class Lost(val label: String) {
         LEADER("the disk of the leader"),
         FOLLOWER("the disk of the other follower"),
         SPARE("the disk of the spare replica"),
+        SPARE_REPLICA("the spare replica, in whose place another one starts later,"),
     }
 
     private data class Envelope(val from: ReplicaId, val to: ReplicaId, val message: ReplicaMessage)
@@ -40,25 +46,18 @@
 
     /** Returns whether no leader commits an entry any more after [lost], [delaySteps] after the freeze. */
     fun endsForGood(lost: Lost, delaySteps: Int): Boolean {
-        replicas.values.forEachIndexed { number, replica -> replica.start(nowMillis, number + 1L) }
-        runSteps(START_STEPS)
-        propose()
-        runSteps(1)
-        val leader = checkNotNull(leaderOrNull()) { "no leader at the start" }.id
-        val followers = (voters - leader).toList()
-        val frozenId = if (isLeaderFrozen) leader else followers.first()
-        val remaining = (voters - frozenId).toList()
-        frozen = frozenId.name
-        runSteps((PLANNER.replaceAfterMillis / stepMillis).toInt() - 1)
+        val remaining = freezeOne()
         runSteps(delaySteps)
         val leaderNow = leaderOrNull()?.id ?: remaining.first()
         when (lost) {
             Lost.LEADER -> loseDisk(leaderNow.name)
             Lost.FOLLOWER -> loseDisk(remaining.first { it != leaderNow }.name)
             Lost.SPARE -> loseDisk(spare.name)
+            Lost.SPARE_REPLICA -> replicas = replicas - spare.name
         }
         runSteps(FROZEN_STEPS)
-        frozen = null
+        if (lost == Lost.SPARE_REPLICA) loseDisk(InstanceId.parse("spare-2"))
+        if (comesBack) frozen = null
         runSteps(RECOVERY_STEPS)
         val countBefore = committed.size
         propose()
@@ -66,6 +65,35 @@
         return committed.size == countBefore
     }
 
+    /** Returns the delay, in steps, after which the removal of the frozen replica is committed if no disk is lost. */
+    fun stepsUntilRemoved(): Int {
+        freezeOne()
+        return generateSequence(0) { it + 1 }.take(RECOVERY_STEPS).first {
+            val state = leaderOrNull()?.state
+            val isRemoved =
+                state != null &&
+                    state.log.members.voterOrNull(checkNotNull(frozen)) == null &&
+                    state.commitIndex >= state.log.membersIndex
+            if (!isRemoved) runSteps(1)
+            isRemoved
+        }
+    }
+
+    /** Starts the replicas and freezes one until it is about to be replaced; returns the other voters. */
+    private fun freezeOne(): List<ReplicaId> {
+        replicas.values.forEachIndexed { number, replica -> replica.start(nowMillis, number + 1L) }
+        runSteps(START_STEPS)
+        propose()
+        runSteps(1)
+        val leader = checkNotNull(leaderOrNull()) { "no leader at the start" }.id
+        val followers = (voters - leader).toList()
+        val frozenId = if (isLeaderFrozen) leader else followers.first()
+        val remaining = (voters - frozenId).toList()
+        frozen = frozenId.name
+        runSteps((PLANNER.replaceAfterMillis / stepMillis).toInt() - 1)
+        return remaining
+    }
+
     private fun leaderOrNull(): ScheduledReplica? = replicas.values
         .filter { it.id.name != frozen && it.state.isLeader }
         .maxByOrNull { it.state.hardState.term }
@@ -95,7 +123,7 @@
             send(recipient, ReplicaEvent.Received(envelope.from, envelope.message))
         }
         replicas.values.filter { it.id.name != frozen }.forEach { send(it, ReplicaEvent.Tick) }
-        changeMembers()
+        if (nowMillis / stepMillis % planPeriodSteps == 0L) changeMembers()
     }
 
     private fun changeMembers() {
