Forget a leader that is long silent on a replica that is no voter

Seen by operators: an instance that is no voter answers 307 to the address of a leader that is gone, and goes on so.

Cause: only voters notice that a leader is silent, as they start an election. A learner keeps the last one that it heard from. It isn't told that it was removed, so it never hears from a later leader, and the leader that it knows goes before the one that the replies to its announcements name. Class of fault: what was known once counts as known, whatever its age.

The way there through a removed learner was not run with processes.

At its election deadline a replica that is no voter forgets its leader instead of starting an election. So it takes the leader that the others name, and doesn't pass the old one on in its own replies.

--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -17,13 +17,19 @@
 import marigoldward.core.flatMap
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
+import marigoldward.core.replication.ReplicaId
+import marigoldward.core.replication.ReplicaMessage
 import marigoldward.core.routes.CallerLimits
 import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.core.routes.RouteProblem
 import marigoldward.support.program.KeyFile
+import marigoldward.wire.peer.PeerEnvelope
+import marigoldward.wire.peer.PeerRpc
+import marigoldward.wire.rpc.Acknowledgement
 import marigoldward.wire.rpc.ClusterAccess
 import marigoldward.wire.rpc.ClusterIdentity
+import marigoldward.wire.rpc.RpcClient
 import java.io.File
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -66,7 +72,7 @@
                 ClusterAccess(
                     seeds = seeds.map { InetSocketAddress(ip(it), 1) },
                     rpcPort = port,
-                    identity = ClusterIdentity("test", KeyFile.fromSecret("a key of the tests")),
+                    identity = IDENTITY,
                 ),
                 isFirstStart = isFirstStart,
                 lostInstances = 1,
@@ -115,6 +121,29 @@
 
     fun readAt(number: Int): RouteReadResult = running.getValue(number).routes.read()
 
+    /** Sends [to] a heartbeat of a leader on the instance [leader], which needs not exist. */
+    fun sendHeartbeat(leader: Int, to: ReplicaId) {
+        val from = ReplicaId(id(leader), 1)
+        val heartbeat =
+            ReplicaMessage.Append(
+                term = 1,
+                previousIndex = 0,
+                previousTerm = 0,
+                entries = emptyList(),
+                commitIndex = 0,
+                round = 1,
+            )
+        RpcClient.to(InetSocketAddress(to.name.text, port), IDENTITY).use { client ->
+            client.call(PeerRpc.DELIVER, PeerEnvelope(from, to, listOf(heartbeat)), WAIT_MILLIS) shouldBe
+                Outcome.Success(Acknowledgement(isAccepted = true))
+        }
+    }
+
+    /** Waits until the instance [number] names [leader]. */
+    fun awaitLeaderAt(number: Int, leader: Int) {
+        await { running.getValue(number).leader.takeIf { it == id(leader) } }
+    }
+
     /** Reads the configuration from the first instance that confirms it. */
     fun read(): String? = await {
         running.values.map { it.routes.read() }.filterIsInstance<RouteReadResult.Current>().firstOrNull()
@@ -140,6 +169,7 @@
 
     private companion object {
         const val WAIT_MILLIS = 20_000L
+        val IDENTITY = ClusterIdentity("test", KeyFile.fromSecret("a key of the tests"))
     }
 }
 
@@ -240,6 +270,22 @@
                     cluster.storeAt(4, "8 eight") shouldBe RouteStoreResult.NotLeader(cluster.id(next))
                 }
             }
+            // A replica that was a learner once named the leader of that time for ever, also after that one was removed.
+            it("names the leader that the others name, once the one it has heard from is silent") {
+                LogCapture("membership").use { log ->
+                    Cluster().use { cluster ->
+                        (1..3).forEach { cluster.start(it, isFirstStart = true) }
+                        cluster.start(4, isFirstStart = false)
+                        cluster.store("5 five") shouldBe RouteStoreResult.Stored(5)
+                        val leader = cluster.leader()
+                        cluster.sendHeartbeat(leader = 9, to = joinedReplica(log, cluster.id(4)))
+                        cluster.awaitLeaderAt(4, leader = 9)
+                        Thread.sleep(2_000)
+                        cluster.storeAt(4, "6 six") shouldBe RouteStoreResult.NotLeader(cluster.id(leader))
+                        cluster.readAt(4) shouldBe RouteReadResult.NotLeader(cluster.id(leader))
+                    }
+                }
+            }
         }
         // A whole replacement left no line, so nobody could tell why a change was lost beside one.
         describe("the log of a replacement") {
@@ -268,6 +314,13 @@
         }
     })
 
+/** Returns the replica of the instance [name], which has asked to join. */
+private fun joinedReplica(log: LogCapture, name: InstanceId): ReplicaId {
+    val line = log.linesWith("event=join_received", "replica=$name#").first()
+    val incarnation = Regex("replica=\\S+#(\\d+)").find(line)?.groupValues?.get(1)
+    return ReplicaId(name, incarnation.shouldNotBeNull().toLong())
+}
+
 private fun expectLeaderLines(log: LogCapture, leaderIp: String, newId: String, oldId: String) {
     val self = "self=$leaderIp#1 "
     log.linesWith("event=join_received", self, "replica=$newId").size shouldBe 1
--- a/core/src/main/kotlin/marigoldward/core/replication/Replica.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/Replica.kt
@@ -26,8 +26,10 @@
 
     private fun tick(state: ReplicaState, nowMillis: Long): ReplicaStep = when {
         state.isLeader -> LeaderReplication.tick(state, nowMillis)
-        state.isVoter && nowMillis >= state.electionDeadlineMillis -> LeaderElection.startPreVote(state, nowMillis)
-        else -> state.withoutActions()
+        nowMillis < state.electionDeadlineMillis -> state.withoutActions()
+        state.isVoter -> LeaderElection.startPreVote(state, nowMillis)
+        // Nobody tells a learner that it was removed, so a leader that was long silent may be none any more.
+        else -> state.copy(role = ReplicaRole.Follower(null)).withoutActions()
     }
 
     private fun receive(state: ReplicaState, event: ReplicaEvent.Received, nowMillis: Long): ReplicaStep {
--- a/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
+++ b/core/src/main/kotlin/marigoldward/core/replication/ReplicaState.kt
@@ -4,7 +4,8 @@
  * The complete state of a replica. All times are in milliseconds of monotonic time.
  *
  * @property commitIndex the index of the last entry that is known to be committed
- * @property electionDeadlineMillis when to start an election unless a leader makes contact before
+ * @property electionDeadlineMillis when to start an election, or to forget the leader if this replica is no voter, unless
+ * a leader makes contact before
  * @property lastLeaderContactMillis when the last message of a leader arrived
  * @property caughtUpMillis when this replica last knew all entries that its leader had committed
  * @property randomState the state of the random generator for election timeouts
@@ -24,7 +25,7 @@
     /** Whether this replica is the leader of its term. */
     val isLeader: Boolean get() = role is ReplicaRole.Leader
 
-    /** The leader that this replica knows of, or null. */
+    /** The leader that this replica knows of, or null; one that is silent is forgotten after two election timeouts. */
     val leaderOrNull: ReplicaId?
         get() =
             when (role) {
