--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -55,7 +55,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
-        listenChannel = ListenAddress.bindWhenFree(maxWaitMillis) { bootstrap.bind(address).sync().channel() }
+        listenChannel = ListenAddress.bindWhenFree(address, maxWaitMillis) { bootstrap.bind(address).sync().channel() }
     }
 
     /** Accepts no more connections. */
--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -111,8 +111,8 @@
         output.close()
     }
 
-    private class RunningServer(private val server: Undertow) : Http4kServer {
-        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree { server.start() } }
+    private inner class RunningServer(private val server: Undertow) : Http4kServer {
+        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree(address) { server.start() } }
 
         override fun stop(): Http4kServer = apply { server.stop() }
 
--- a/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
@@ -33,7 +33,7 @@
             it("is passed on at once") {
                 var calls = 0
                 shouldThrow<IllegalStateException> {
-                    ListenAddress.bindWhenFree {
+                    ListenAddress.bindWhenFree(InetSocketAddress("127.0.0.1", 1)) {
                         calls++
                         error("no permission")
                     }
--- a/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
@@ -40,7 +40,7 @@
                     .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
                     .keepAliveTimeout(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
             services.forEach(builder::addService)
-            return RpcServer(ListenAddress.bindWhenFree { builder.build().start() })
+            return RpcServer(ListenAddress.bindWhenFree(address) { builder.build().start() })
         }
     }
 }
