Wait on the platform until an address is free

Callers and operators saw processes that ended by themselves with 1, or didn't start (FAULT): a port that another program's connection has as its local port can't be bound while that lives, and a process gave up after 5 s (control instances) or its grace period and 5 s (entries). It took a passing state of its machine for a permanent one.

ListenWait.UntilFree has no limit: entries and control instances on the platform use it. An IP address that isn't one of the machine's, found by binding it at any port, still ends the process after 5 s, with the address in the message. SIGTERM ends the wait by Termination.StartCancelled: the exit is in order and the code 143. An entry binds the callers' address last, so that a cancelled start has accepted no request; a control instance that waits for its operators' address runs already and is closed. Programs that are started by hand keep the bounded wait of 5 s (ListenWait.Bounded).

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -25,6 +25,7 @@
 import marigoldward.support.directory.DirectorySource
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
+import marigoldward.support.program.ListenWait
 import marigoldward.support.time.MonotonicClock
 import marigoldward.support.time.TimerService
 import marigoldward.wire.control.SubmitReply
@@ -76,6 +77,7 @@
             InetSocketAddress(settings.ip.text, cluster.rpcPort),
             cluster.identity,
             listOf(peers.service, feed.service),
+            ListenWait.UntilFree,
         )
 
     /** The instance that leads, as far as this one knows, or null. */
@@ -199,7 +201,7 @@
         private const val LEADER_SILENCE_TIMEOUT_MILLIS = 4_000L
         private val log = EventLog.fromName("control")
 
-        /** Starts the instance with [settings]. Waits until its data folder can be used. */
+        /** Starts the instance with [settings]. Waits until its data folder can be used and its address is free. */
         public fun start(
             settings: ClusterSettings,
             reader: RouteDocumentReader,
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -30,7 +30,7 @@
 import marigoldward.support.directory.DirectorySource
 import marigoldward.support.log.EventLog
 import marigoldward.support.metrics.MetricsPage
-import marigoldward.support.program.ListenAddress
+import marigoldward.support.program.ListenWait
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
 import java.net.InetSocketAddress
@@ -109,11 +109,10 @@
     private fun start() {
         crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
-        // The gateway that this one replaces may be in its grace period.
-        val maxWaitMillis = settings.gracePeriodMillis + ListenAddress.MAX_WAIT_MILLIS
-        readinessServer.start(settings.readinessListenAddress, maxWaitMillis)
-        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort), maxWaitMillis)
-        callerServer.start(settings.callerListenAddress, maxWaitMillis)
+        readinessServer.start(settings.readinessListenAddress, ListenWait.UntilFree)
+        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort), ListenWait.UntilFree)
+        // Last, as a start that is cancelled while it waits must not have accepted a request.
+        callerServer.start(settings.callerListenAddress, ListenWait.UntilFree)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
         scheduleRepeatedly(DIRECTORY_CHECK_INTERVAL_MILLIS, ::checkDirectory)
         scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired(dispatcher::acceptsRequests) }
@@ -245,7 +244,7 @@
 
         private val log = EventLog.fromName("entry")
 
-        /** Starts a gateway. */
+        /** Starts a gateway. Waits until its addresses are free. */
         public fun start(
             settings: GatewaySettings,
             routeReader: RouteDocumentReader,
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
 import marigoldward.support.program.ListenAddress
+import marigoldward.support.program.ListenWait
 import java.net.InetSocketAddress
 
 /**
@@ -44,8 +45,8 @@
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
 
-    /** Starts to listen at [address]; returns when the address is bound, for which it waits for [maxWaitMillis]. */
-    fun start(address: InetSocketAddress, maxWaitMillis: Long = ListenAddress.MAX_WAIT_MILLIS) {
+    /** Starts to listen at [address]; returns when the address is bound. */
+    fun start(address: InetSocketAddress, wait: ListenWait = ListenWait.Bounded()) {
         val bootstrap =
             ServerBootstrap()
                 .group(loop)
@@ -55,7 +56,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
-        listenChannel = ListenAddress.bindWhenFree(address, maxWaitMillis) { bootstrap.bind(address).sync().channel() }
+        listenChannel = ListenAddress.bindWhenFree(address, wait) { bootstrap.bind(address).sync().channel() }
     }
 
     /** Accepts no more connections. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
@@ -4,6 +4,7 @@
 import marigoldward.core.routes.CallerLimits
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.ResponseHead
+import marigoldward.support.program.ListenWait
 import java.net.InetSocketAddress
 
 /** Responds to every request at one address with the page that [currentPage] returns. */
@@ -13,8 +14,8 @@
 
     private val server = CallerServer(loop, { CallerLimits.DEFAULT }, memory, ::respond)
 
-    /** Starts to listen at [address]; returns when the address is bound, for which it waits for [maxWaitMillis]. */
-    fun start(address: InetSocketAddress, maxWaitMillis: Long) = server.start(address, maxWaitMillis)
+    /** Starts to listen at [address]; returns when the address is bound. */
+    fun start(address: InetSocketAddress, wait: ListenWait) = server.start(address, wait)
 
     private fun respond(exchange: CallerExchange) {
         val page = currentPage()
--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -6,6 +6,7 @@
 import io.undertow.server.handlers.BlockingHandler
 import io.undertow.util.HttpString
 import marigoldward.support.program.ListenAddress
+import marigoldward.support.program.ListenWait
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
@@ -31,6 +32,7 @@
     private val address: InetSocketAddress,
     private val maxBodyBytes: Long,
     private val workerThreads: Int,
+    private val wait: ListenWait,
 ) : ServerConfig {
     private val active = AtomicInteger()
 
@@ -112,7 +114,7 @@
     }
 
     private inner class RunningServer(private val server: Undertow) : Http4kServer {
-        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree(address) { server.start() } }
+        override fun start(): Http4kServer = apply { ListenAddress.bindWhenFree(address, wait) { server.start() } }
 
         override fun stop(): Http4kServer = apply { server.stop() }
 
@@ -128,7 +130,11 @@
         private const val REQUEST_PARSE_MILLIS = 10_000
 
         /** Returns a configuration that binds only to [address]. Port 0 means any free port. */
-        public fun at(address: InetSocketAddress, maxBodyBytes: Long, workerThreads: Int): StreamingUndertow =
-            StreamingUndertow(address, maxBodyBytes, workerThreads)
+        public fun at(
+            address: InetSocketAddress,
+            maxBodyBytes: Long,
+            workerThreads: Int,
+            wait: ListenWait = ListenWait.Bounded(),
+        ): StreamingUndertow = StreamingUndertow(address, maxBodyBytes, workerThreads, wait)
     }
 }
--- a/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
@@ -3,51 +3,79 @@
 import marigoldward.support.log.EventLog
 import marigoldward.support.settings.toText
 import marigoldward.support.time.MonotonicClock
+import java.io.IOException
 import java.net.BindException
 import java.net.InetSocketAddress
+import java.net.ServerSocket
 
 /** Binds the addresses that a process listens at. */
 public object ListenAddress {
     /** How long to wait for an address; a process that has it ends within this time after it has stopped listening. */
     public const val MAX_WAIT_MILLIS: Long = 5_000
     private const val RETRY_MILLIS = 50L
+    private const val LATER_RETRY_MILLIS = 500L
+    private const val LOG_PERIOD_MILLIS = 10_000L
     private val log = EventLog.fromName("listen")
 
     /**
      * Returns the result of [bind], which binds [address]. While it fails because the address is in use, calls it
      * again, as the process that is replaced by this one may still be ending.
      *
-     * @throws BindException after [maxWaitMillis], with the address and its holder
+     * @throws BindException when the [wait] is over, with the address and its holder
+     * @throws Termination.StartCancelled if the process is asked to terminate during a wait without a limit
      */
     public fun <T> bindWhenFree(
         address: InetSocketAddress,
-        maxWaitMillis: Long = MAX_WAIT_MILLIS,
+        wait: ListenWait = ListenWait.Bounded(),
         bind: () -> T,
     ): T {
         val startMillis = MonotonicClock.nowMillis()
-        var isLogged = false
+        var loggedMillis: Long? = null
         while (true) {
             try {
                 val bound = bind()
-                if (isLogged) logFree(address, startMillis)
+                if (loggedMillis != null) logFree(address, startMillis)
                 return bound
             } catch (failure: Exception) {
                 if (!isAddressProblem(failure)) throw failure
-                val waitedMillis = MonotonicClock.nowMillis() - startMillis
-                if (waitedMillis >= maxWaitMillis) throw notBound(address, failure, waitedMillis)
-                if (!isLogged) logWait(address, failure, maxWaitMillis)
-                isLogged = true
+                val nowMillis = MonotonicClock.nowMillis()
+                val waitedMillis = nowMillis - startMillis
+                if (isOver(wait, waitedMillis, address)) throw notBound(address, failure, waitedMillis)
+                if (loggedMillis == null || nowMillis - loggedMillis >= LOG_PERIOD_MILLIS) {
+                    logWait(address, failure, wait, waitedMillis)
+                    loggedMillis = nowMillis
+                }
+                Thread.sleep(if (waitedMillis < MAX_WAIT_MILLIS) RETRY_MILLIS else LATER_RETRY_MILLIS)
             }
-            Thread.sleep(RETRY_MILLIS)
         }
     }
 
-    private fun logWait(address: InetSocketAddress, failure: Exception, maxWaitMillis: Long) =
+    private fun isOver(wait: ListenWait, waitedMillis: Long, address: InetSocketAddress): Boolean = when (wait) {
+        is ListenWait.Bounded -> waitedMillis >= wait.maxMillis
+        ListenWait.UntilFree -> {
+            Termination.checkNotRequested()
+            waitedMillis >= MAX_WAIT_MILLIS && !isOfThisMachine(address)
+        }
+    }
+
+    /** Whether a socket can be bound to the IP of [address] at any port. */
+    private fun isOfThisMachine(address: InetSocketAddress): Boolean = try {
+        ServerSocket(0, 1, address.address).close()
+        true
+    } catch (failure: BindException) {
+        // All ports may be in use.
+        failure.message.orEmpty().contains("in use")
+    } catch (_: IOException) {
+        true
+    }
+
+    private fun logWait(address: InetSocketAddress, failure: Exception, wait: ListenWait, waitedMillis: Long) =
         log.warn("address_in_use") {
             field("address", address.toText())
             field("holder", AddressHolder.of(address))
             field("reason", failure)
-            field("max_wait_ms", maxWaitMillis)
+            field("wait", wait)
+            field("waited_ms", waitedMillis)
         }
 
     private fun logFree(address: InetSocketAddress, startMillis: Long) = log.info("address_free") {
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -88,20 +88,25 @@
      * Runs the program that [start] returns until the process is asked to terminate, and then closes it.
      *
      * A request to terminate that comes during the start takes effect after it, so that connections accepted by then
-     * are not cut off. If [start] throws, prints and logs the cause and ends the process with [EXIT_START]. An exception
-     * that ends any other thread is logged; the process goes on.
+     * are not cut off; only a start that waits without a limit ends by [Termination.StartCancelled]. If [start] throws
+     * anything else, prints and logs the cause and ends the process with [EXIT_START]. An exception that ends any other
+     * thread is logged; the process goes on.
      */
     public fun run(start: () -> AutoCloseable): Nothing {
         Thread.setDefaultUncaughtExceptionHandler(::logThreadEnd)
         val started = CompletableFuture<AutoCloseable?>()
         Runtime.getRuntime().addShutdownHook(
             Thread {
+                Termination.request()
                 started.join()?.close()
                 EventLog.flush()
             },
         )
         try {
             started.complete(start())
+        } catch (_: Termination.StartCancelled) {
+            log.info("start_cancelled")
+            started.complete(null)
         } catch (failure: Throwable) {
             started.complete(null)
             val cause = generateSequence<Throwable>(failure) { it.cause }.last()
--- a/support/src/test/kotlin/marigoldward/support/program/AddressHolderTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/AddressHolderTest.kt
@@ -42,7 +42,7 @@
                 ServerSocket(0, 1, LOOPBACK).use { server ->
                     val address = InetSocketAddress(LOOPBACK, server.localPort)
                     val failure = shouldThrow<BindException> {
-                        ListenAddress.bindWhenFree(address, maxWaitMillis = 100) {
+                        ListenAddress.bindWhenFree(address, ListenWait.Bounded(100)) {
                             ServerSocket(address.port, 1, LOOPBACK).close()
                         }
                     }
--- a/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/RpcServer.kt
@@ -5,6 +5,7 @@
 import io.grpc.ServerServiceDefinition
 import io.grpc.okhttp.OkHttpServerBuilder
 import marigoldward.support.program.ListenAddress
+import marigoldward.support.program.ListenWait
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -28,6 +29,7 @@
             address: InetSocketAddress,
             identity: ClusterIdentity,
             services: List<ServerServiceDefinition>,
+            wait: ListenWait = ListenWait.Bounded(),
         ): RpcServer {
             val builder =
                 OkHttpServerBuilder
@@ -40,7 +42,7 @@
                     .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
                     .keepAliveTimeout(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
             services.forEach(builder::addService)
-            return RpcServer(ListenAddress.bindWhenFree(address) { builder.build().start() })
+            return RpcServer(ListenAddress.bindWhenFree(address, wait) { builder.build().start() })
         }
     }
 }
