End in order on SIGTERM during the wait for the data folder

A control instance that waited for its data folder, which it does without a limit, could only be killed: the end waited for the start, and the start for the folder.

The wait for the folder now asks whether the process has been asked to terminate, before each attempt, so no write is cut.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.Outcome
 import marigoldward.core.replication.ReplicaId
 import marigoldward.support.log.EventLog
+import marigoldward.support.program.Termination
 import marigoldward.support.time.MonotonicClock
 import java.io.IOException
 import java.security.SecureRandom
@@ -16,12 +17,17 @@
     private const val RETRY_MILLIS = 500L
     private val log = EventLog.fromName("storage")
 
-    /** Opens the folder. Tries again until it succeeds. */
+    /**
+     * Opens the folder. Tries again until it succeeds.
+     *
+     * @throws Termination.StartCancelled if the process is asked to terminate meanwhile
+     */
     fun open(settings: ClusterSettings): ReplicaStore {
         val startMillis = MonotonicClock.nowMillis()
         var loggedProblem: String? = null
         var isCleared = false
         while (true) {
+            Termination.checkNotRequested()
             when (val opened = tryOpen(settings, mayInitialise = settings.isFirstStart && !isCleared)) {
                 is Outcome.Success -> {
                     if (loggedProblem != null) {
