Serve callers while the address for metrics is in use

An entry bound its metrics' address before that of callers, and waited for it: what callers don't need kept it from serving.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -33,8 +33,10 @@
 import marigoldward.support.program.ListenWait
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
+import java.net.BindException
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.random.Random
 
 /**
@@ -110,7 +112,7 @@
         crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
         readinessServer.start(settings.readinessListenAddress, ListenWait.UntilFree)
-        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort), ListenWait.UntilFree)
+        serveMetrics()
         // Last, as a start that is cancelled while it waits must not have accepted a request.
         callerServer.start(settings.callerListenAddress, ListenWait.UntilFree)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
@@ -119,6 +121,19 @@
         loop.execute(feed::maintain)
     }
 
+    /** Serves the metrics, which callers don't need: if their address is in use, later, on a thread of its own. */
+    private fun serveMetrics() {
+        val address = InetSocketAddress(settings.ip, settings.metricsPort)
+        try {
+            metricsServer.start(address, ListenWait.Bounded(maxMillis = 0))
+        } catch (_: BindException) {
+            thread(name = "metrics-address", isDaemon = true) {
+                runCatching { metricsServer.start(address, ListenWait.UntilFree) }
+                    .onFailure { failure -> log.warn("metrics_not_served") { field("reason", failure) } }
+            }
+        }
+    }
+
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
         loop.scheduleWithFixedDelay(loggedTask(action), periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
