Take the ports of tests below the range of connections

By reading: it looked for free ports at 127.0.0.1 and bound them at 127.0.83.100, where each gateway of the JVM listens for readiness and metrics until the JVM ends; ports were also taken one by one, so that two could be equal, and were free for other programs between the check and the use.

FreePorts of the bench moves to support. It finds ports below the range that the system gives to connections and to bindings of port 0, free at all addresses, none twice in a process.

Not a weakening: no check or bound changes; only how the ports are chosen. That a process must stand an address that another program has is checked by AddressHeldTest, on purpose and with each address.

--- a/bench/src/test/kotlin/marigoldward/bench/system/InProcessSystem.kt
+++ b/bench/src/test/kotlin/marigoldward/bench/system/InProcessSystem.kt
@@ -1,6 +1,5 @@
 package marigoldward.bench.system
 
-import marigoldward.bench.fleet.FreePorts
 import marigoldward.control.ControlProgram
 import marigoldward.control.ControlSettings
 import marigoldward.core.Outcome
@@ -14,6 +13,7 @@
 import marigoldward.entry.EntrySettings
 import marigoldward.standin.StandinProgram
 import marigoldward.standin.StandinSettings
+import marigoldward.support.net.FreePorts
 import marigoldward.support.program.KeyFile
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -23,6 +23,7 @@
 import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.core.routes.RouteProblem
+import marigoldward.support.net.FreePorts
 import marigoldward.support.program.KeyFile
 import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.peer.PeerRpc
@@ -32,7 +33,6 @@
 import marigoldward.wire.rpc.RpcClient
 import java.io.File
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicInteger
@@ -56,7 +56,7 @@
 private const val CATCH_UP_MILLIS = 4_000L
 
 private class Cluster : AutoCloseable {
-    private val port = ServerSocket(0).use { it.localPort }
+    private val port = FreePorts.next()
     private val root: Path = Files.createTempDirectory("cluster")
     private val running = HashMap<Int, ClusterProgram>()
     private val readingCounts = HashMap<Int, AtomicInteger>()
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/DirectoryOrderTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/DirectoryOrderTest.kt
@@ -23,6 +23,7 @@
 import marigoldward.gateway.RawCaller
 import marigoldward.gateway.TestDialect
 import marigoldward.support.bytes.Gzip
+import marigoldward.support.net.FreePorts
 import marigoldward.support.program.KeyFile
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.DirectorySnapshot
@@ -34,9 +35,7 @@
 import marigoldward.wire.rpc.ClusterIdentity
 import marigoldward.wire.rpc.RpcServer
 import marigoldward.wire.rpc.ServiceBuilder
-import java.net.InetAddress
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.util.concurrent.Executors
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -63,8 +62,6 @@
     hasPrompts = false,
 )
 
-private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
-
 /** An upstream that answers with its name. */
 private class NamedUpstream(val name: String) : AutoCloseable {
     private val server = FakeUpstream { it.respond(name) }
@@ -82,15 +79,15 @@
         .serverStreaming(FeedRpc.WATCH) { _: WatchRequest, stream -> streams.put(stream) }
         .build()
     private val server = RpcServer.start(InetSocketAddress("127.0.0.1", 0), IDENTITY, listOf(service))
-    private val callerPort = freePort()
+    private val callerPort = FreePorts.next()
     private val program = GatewayProgram.start(
         GatewaySettings(
             id = InstanceId.parse("gateway"),
             dataCentre = HERE,
             ip = "127.0.0.1",
             callerListenAddress = InetSocketAddress("127.0.0.1", callerPort),
-            readinessListenAddress = InetSocketAddress("127.0.0.1", freePort()),
-            metricsPort = freePort(),
+            readinessListenAddress = InetSocketAddress("127.0.0.1", FreePorts.next()),
+            metricsPort = FreePorts.next(),
             cluster = ClusterAccess(listOf(InetSocketAddress("127.0.0.1", 1)), server.port, IDENTITY),
             directoryAddress = InetSocketAddress("127.0.0.1", 1),
             gracePeriodMillis = 1_000,
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
@@ -17,6 +17,7 @@
 import marigoldward.gateway.GatewaySettings
 import marigoldward.gateway.TestDialect
 import marigoldward.support.bytes.Gzip
+import marigoldward.support.net.FreePorts
 import marigoldward.wire.rpc.ClusterAccess
 import java.io.Closeable
 import java.net.InetAddress
@@ -43,8 +44,8 @@
 private class Network : Closeable {
     private val opened = ArrayList<AutoCloseable>()
     private val seeds = ArrayList<InetSocketAddress>()
-    val rpcPort = freePort()
-    private val readinessAddress = InetSocketAddress("127.0.83.100", freePort())
+    val rpcPort = FreePorts.next()
+    private val readinessAddress = InetSocketAddress("127.0.83.100", FreePorts.next())
 
     init {
         GatewayMetrics.routesVersion.set(0.0)
@@ -79,9 +80,9 @@
                 id = InstanceId.parse(id),
                 dataCentre = FakeControl.DATA_CENTRE,
                 ip = ip,
-                callerListenAddress = InetSocketAddress(ip, freePort()),
+                callerListenAddress = InetSocketAddress(ip, FreePorts.next()),
                 readinessListenAddress = readinessAddress,
-                metricsPort = freePort(),
+                metricsPort = FreePorts.next(),
                 cluster = ClusterAccess(seeds.toList(), rpcPort, FakeControl.IDENTITY),
                 directoryAddress = InetSocketAddress("127.0.0.1", 1),
                 gracePeriodMillis = 100,
@@ -116,8 +117,6 @@
     override fun close() = opened.forEach { it.close() }
 
     private fun nextIp(): String = "127.0.83.${seeds.size + 1}".also { seeds += InetSocketAddress(it, 1) }
-
-    private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { it.localPort }
 }
 
 private fun millisFor(action: () -> Unit): Long {
