Keep our connections from holding the port of a listener

A connection to a process that is down, given its port, is connected to itself and took requests as if it were an upstream.

All our outgoing sockets set SO_REUSEADDR before they connect, as listeners do, which lets Linux bind the port: upstream pool, gRPC channels, OkHttp clients of directory, engines and upstreams. One whose two ends are equal is closed and counts as refused. The command line tool's client has no such option and lives for one call.

--- a/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.SerializationException
 import marigoldward.core.serving.UpstreamInfo
 import marigoldward.support.http.boundedText
+import marigoldward.support.net.OutgoingSocket
 import marigoldward.support.platform.PlatformListing
 import marigoldward.support.settings.toText
 import okhttp3.OkHttpClient
@@ -13,7 +14,11 @@
 
 /** Reads the platform's list of upstreams. While it can't be read, the last one remains in use. */
 internal class UpstreamListReader(platform: InetSocketAddress) : AutoCloseable {
-    private val client = OkHttpClient.Builder().callTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).build()
+    private val client = OkHttpClient
+        .Builder()
+        .socketFactory(OutgoingSocket.Factory)
+        .callTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .build()
     private val request = Request.Builder().url("http://${platform.toText()}/v1/instances").build()
     private var lastRead = emptyList<UpstreamInfo>()
 
--- a/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
@@ -7,6 +7,7 @@
 import marigoldward.core.control.EngineCommand
 import marigoldward.core.model.EngineRole
 import marigoldward.support.http.boundedText
+import marigoldward.support.net.OutgoingSocket
 import okhttp3.ConnectionPool
 import okhttp3.Interceptor
 import okhttp3.MediaType.Companion.toMediaType
@@ -41,6 +42,7 @@
     private val stateClient: OkHttpClient =
         OkHttpClient
             .Builder()
+            .socketFactory(OutgoingSocket.Factory)
             .retryOnConnectionFailure(false)
             .callTimeout(COMMAND_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
             .build()
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/UpstreamClients.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/UpstreamClients.kt
@@ -1,5 +1,6 @@
 package marigoldward.entry.upstream
 
+import marigoldward.support.net.OutgoingSocket
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.EventListener
@@ -18,6 +19,7 @@
     private val polling: OkHttpClient =
         OkHttpClient
             .Builder()
+            .socketFactory(OutgoingSocket.Factory)
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
--- a/wire/src/main/kotlin/marigoldward/wire/rpc/TimedSocketFactory.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/TimedSocketFactory.kt
@@ -1,5 +1,6 @@
 package marigoldward.wire.rpc
 
+import marigoldward.support.net.OutgoingSocket
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.Socket
@@ -12,7 +13,7 @@
  * minutes, even after the client was closed.
  */
 internal class TimedSocketFactory(private val connectTimeoutMillis: Int) : SocketFactory() {
-    override fun createSocket(): Socket = Socket()
+    override fun createSocket(): Socket = OutgoingSocket.create()
 
     override fun createSocket(host: String, port: Int): Socket = connected(InetSocketAddress(host, port), null)
 
@@ -25,7 +26,7 @@
         connected(InetSocketAddress(address, port), InetSocketAddress(localAddress, localPort))
 
     private fun connected(address: InetSocketAddress, local: InetSocketAddress?): Socket {
-        val socket = Socket()
+        val socket = OutgoingSocket.create()
         runCatching {
             local?.let(socket::bind)
             socket.connect(address, connectTimeoutMillis)
