--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -30,11 +30,13 @@
 import marigoldward.support.directory.DirectorySource
 import marigoldward.support.log.EventLog
 import marigoldward.support.metrics.MetricsPage
-import marigoldward.support.program.ListenAddress
+import marigoldward.support.program.ListenWait
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.feed.FeedUpdate
+import java.net.BindException
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.random.Random
 
 /**
@@ -109,17 +111,29 @@
     private fun start() {
         crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
-        // The gateway that this one replaces may be in its grace period.
-        val maxWaitMillis = settings.gracePeriodMillis + ListenAddress.MAX_WAIT_MILLIS
-        readinessServer.start(settings.readinessListenAddress, maxWaitMillis)
-        metricsServer.start(InetSocketAddress(settings.ip, settings.metricsPort), maxWaitMillis)
-        callerServer.start(settings.callerListenAddress, maxWaitMillis)
+        readinessServer.start(settings.readinessListenAddress, ListenWait.UntilFree)
+        serveMetrics()
+        // Last, as a start that is cancelled while it waits must not have accepted a request.
+        callerServer.start(settings.callerListenAddress, ListenWait.UntilFree)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
         scheduleRepeatedly(DIRECTORY_CHECK_INTERVAL_MILLIS, ::checkDirectory)
         scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired(dispatcher::acceptsRequests) }
         loop.execute(feed::maintain)
     }
 
+    /** Serves the metrics, which callers don't need: if their address is in use, later, on a thread of its own. */
+    private fun serveMetrics() {
+        val address = InetSocketAddress(settings.ip, settings.metricsPort)
+        try {
+            metricsServer.start(address, ListenWait.Bounded(maxMillis = 0))
+        } catch (_: BindException) {
+            thread(name = "metrics-address", isDaemon = true) {
+                runCatching { metricsServer.start(address, ListenWait.UntilFree) }
+                    .onFailure { failure -> log.warn("metrics_not_served") { field("reason", failure) } }
+            }
+        }
+    }
+
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
         loop.scheduleWithFixedDelay(loggedTask(action), periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
@@ -245,7 +259,7 @@
 
         private val log = EventLog.fromName("entry")
 
-        /** Starts a gateway. */
+        /** Starts a gateway. Waits until its addresses are free. */
         public fun start(
             settings: GatewaySettings,
             routeReader: RouteDocumentReader,
