Count the time for which an update from control was under way

What callers saw: a change that control had confirmed was in force at an entry only seconds later, while the entry showed itself in touch with control.

Cause: the age of an update was the staleness that its sender gives, counted from the receipt. An update that had been under way for seconds passed for fresh, and the entry stayed with that instance though another was reachable without delay.

Evidence: RoutesInForceTest, "a gateway whose updates are under way for longer and longer": each heartbeat is under way for 200 ms longer than the one before, up to 3,000 ms.

Why it works: updates tell since long when they were sent. UpdateDelays compares that with the fastest recent update of the same instance, as is done for the lists of upstreams, and adds the difference to the staleness. The log has it as delay_ms. An update can't be older than its stream, so that the clock of an instance whose machine was suspended costs one new stream at most.

--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -36,6 +36,7 @@
     private val source =
         FeedSource(settings.dataCentre, Math.floorMod(settings.id.text.hashCode(), FIRST_CHOICE_RANGE))
     private val streams = HashMap<InstanceId, Stream>()
+    private val delays = UpdateDelays()
     private var wasFresh = false
     private var lostMillis = MonotonicClock.nowMillis()
     private var isClosed = false
@@ -117,6 +118,7 @@
                 field("control", source.current)
                 field("took_ms", nowMillis - lostMillis)
                 field("state_age_ms", source.stateAgeMillisOrNull(nowMillis))
+                field("delay_ms", streams[source.current]?.delayMillis)
                 field("version", routesVersion())
             }
         } else {
@@ -126,6 +128,7 @@
                 field("reason", problem.name.lowercase())
                 field("last_update_ms", source.updateAgeMillisOrNull(nowMillis))
                 field("state_age_ms", source.stateAgeMillisOrNull(nowMillis))
+                field("delay_ms", streams[source.current]?.delayMillis)
                 field("version", routesVersion())
             }
         }
@@ -135,12 +138,12 @@
         if (streams[stream.instance] !== stream) return
         val nowMillis = MonotonicClock.nowMillis()
         stream.hold(update)
-        val steps = with(update) {
-            source.recordUpdate(stream.instance, dataCentre, members, maxStalenessMillis, nowMillis)
-        }
+        stream.delayMillis = delays.delayMillis(update.sentAt, stream.openedMillis, nowMillis)
+        val staleMillis = update.maxStalenessMillis + stream.delayMillis
+        val steps = with(update) { source.recordUpdate(stream.instance, dataCentre, members, staleMillis, nowMillis) }
         perform(steps, nowMillis)
         logFreshnessChange(nowMillis)
-        update.routes?.let { onRoutes(it, source.isFreshState(update.maxStalenessMillis)) }
+        update.routes?.let { onRoutes(it, source.isFreshState(staleMillis)) }
         if (source.current == stream.instance) onUpdate(stream.takeHeld(), source.isFresh(nowMillis))
     }
 
@@ -165,6 +168,9 @@
         var updates = 0L
             private set
 
+        /** How long the last update was under way, in milliseconds. */
+        var delayMillis = 0L
+
         /** Keeps [update] with the parts of earlier ones that the instance sends only once. */
         fun hold(update: FeedUpdate) {
             updates++
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/FeedSource.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/FeedSource.kt
@@ -82,8 +82,8 @@
     enum class FreshnessProblem { NONE_FOUND, ENDED, SILENT, OUTDATED }
 
     /**
-     * Records an update of [instance], whose state may lack the changes of the last [staleMillis] milliseconds, and
-     * returns the next steps.
+     * Records an update of [instance], whose state may lack the changes of the last [staleMillis] milliseconds before
+     * [nowMillis], including the time for which the update was under way, and returns the next steps.
      */
     fun recordUpdate(
         instance: InstanceId,
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/RoutesInForceTest.kt
@@ -158,6 +158,21 @@
                 }
             }
         }
+        describe("a gateway whose updates are under way for longer and longer") {
+            // Guards against updates that are seconds old and taken for fresh, so that a change is in force too late.
+            it("has a change in force in time if another instance is reachable without delay") {
+                Network().use { network ->
+                    val controls = List(2) { network.control(document(1)) }
+                    network.startGateway()
+                    network.awaitVersion(1)
+                    val followed = network.awaitFollowed(controls)
+                    followed.slowDown(growthMillis = 200, maxMillis = 3_000)
+                    Thread.sleep(7_000)
+                    controls.forEach { it.put(document(2)) }
+                    millisFor { network.awaitVersion(2) } shouldBeLessThan APPLY_MILLIS
+                }
+            }
+        }
         describe("a gateway that follows a control instance") {
             // Guards against further streams in steady state, which cost processor time and bytes.
             it("has no stream of another") {
--- /dev/null
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/UpdateDelaysTest.kt
@@ -0,0 +1,59 @@
+package marigoldward.gateway.control
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import marigoldward.wire.feed.SendingTime
+
+private const val CLOCK_ID = 7L
+private const val HEARTBEAT_MILLIS = 500L
+
+/** The clock of the sender is this much ahead of that of the receiver. */
+private const val AHEAD_MILLIS = 70_000L
+
+/** The delays of updates that are sent and received at times of the receiver's clock. */
+private class TimedUpdates(private val streamOpenedMillis: Long) {
+    private val delays = UpdateDelays()
+
+    fun delayMillis(sent: Long, received: Long, opened: Long = streamOpenedMillis, clockId: Long = CLOCK_ID): Long =
+        delays.delayMillis(SendingTime(clockId, sent + AHEAD_MILLIS), opened, received)
+}
+
+class UpdateDelaysTest :
+    DescribeSpec({
+        describe("the delay of an update") {
+            it("is the time by which it came later than the fastest one before") {
+                val updates = TimedUpdates(streamOpenedMillis = 0)
+                updates.delayMillis(sent = 10, received = 20) shouldBe 0
+                updates.delayMillis(sent = 500, received = 2_010) shouldBe 1_500
+                updates.delayMillis(sent = 2_500, received = 2_510) shouldBe 0
+            }
+            // Guards against an entry that was frozen and takes the updates of that time for fresh.
+            it("grows with the age of each update that waited while the receiver was frozen for a minute") {
+                val updates = TimedUpdates(streamOpenedMillis = 0)
+                (0L..5_000 step HEARTBEAT_MILLIS).forEach { updates.delayMillis(sent = it, received = it) }
+                (5_500L..65_000 step HEARTBEAT_MILLIS).forEach {
+                    updates.delayMillis(sent = it, received = 65_000) shouldBe 65_000 - it
+                }
+            }
+            // Guards against the first update of a stream that was opened before a freeze, taken for fresh after it.
+            it("is the time since the stream was opened for a first update that comes after a second or later") {
+                TimedUpdates(streamOpenedMillis = 0).delayMillis(sent = 10, received = 4_000) shouldBe 4_000
+                TimedUpdates(streamOpenedMillis = 0).delayMillis(sent = 10, received = 999) shouldBe 0
+            }
+            // Guards against an entry without fresh state for ten seconds after a machine of control was suspended.
+            it("is at most the time since the stream was opened, as after the sender's clock stood still") {
+                val updates = TimedUpdates(streamOpenedMillis = 0)
+                updates.delayMillis(sent = 0, received = 0)
+                updates.delayMillis(sent = 500, received = 8_500) shouldBe 8_000
+                updates.delayMillis(sent = 600, received = 8_600, opened = 8_590) shouldBe 10
+            }
+            it("is told apart by sender") {
+                val updates = TimedUpdates(streamOpenedMillis = 0)
+                updates.delayMillis(sent = 0, received = 0)
+                updates.delayMillis(sent = 10, received = 900, clockId = 8) shouldBe 0
+            }
+            it("is 0 if the sender doesn't tell the time") {
+                UpdateDelays().delayMillis(sentAt = null, streamOpenedMillis = 0, receivedMillis = 5_000) shouldBe 0
+            }
+        }
+    })
--- a/support/src/main/kotlin/marigoldward/support/time/RemoteClocks.kt
+++ b/support/src/main/kotlin/marigoldward/support/time/RemoteClocks.kt
@@ -27,6 +27,9 @@
         return sentMillis + difference.smallestMillis
     }
 
+    /** Whether a message of the clock [clockId] was received, and the clock is still kept. */
+    public fun isKnown(clockId: Long): Boolean = clockId in clocks
+
     /** The smallest difference within the last one to two windows in which a message was received. */
     private class Difference {
         private var windowStartMillis: Long? = null
