Show the number of gateways with which an entry shares the engines

marigoldward_gateways is the number that limits long prompts and prices. Only the number for the retry budgets was shown, which is held back and so could not tell whether an instance without fresh state makes an entry take a larger share.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -76,6 +76,12 @@
             .name("marigoldward_budget_sharers")
             .help("Gateways by which the slack of the retry budgets is divided")
             .register()
+    val gatewayCount: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_gateways")
+            .help("Gateways with which this one shares the engines, including itself")
+            .register()
     val directoryAgeSeconds: Gauge =
         Gauge
             .builder()
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -136,6 +136,7 @@
 
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
         context.gatewayCount = maxOf(1, update.entryCount)
+        GatewayMetrics.gatewayCount.set(context.gatewayCount.toDouble())
         budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
         logBudgetSharers(update.entryCount, isFresh)
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
