Keep the number of gateways while control can't know it

What callers saw: nothing that was reported. While control had no leader, each of three entries took the share of the engines that belongs to all three.

Cause: an instance without fresh state knows only the entries that follow it, and tells their number.

Evidence: FrozenControlTest, "gateways whose control instances have no leader", real processes: two of three control instances frozen for 6 s and then going on. Before: the three entries used the numbers 1, 2 and 3 in these 12 s. After: 3 only.

Why it works: GatewayCount uses a larger number at once, and a smaller one after all reports of 3 s came from fresh state and were smaller. That is longer than an entry that has lost its instance takes to be counted at another (2,800 ms).

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -25,7 +25,7 @@
     private val retentionEstimator = CacheRetentionEstimator()
 
     /** The number of gateways that send to the same upstreams, including this one. */
-    public var gatewayCount: Int = DEFAULT_GATEWAY_COUNT
+    public var gatewayCount: Int = GatewayCount.UNKNOWN_COUNT
 
     /** Returns the record of the upstream [id], or null if it is not listed. */
     public fun recordOrNull(id: UpstreamId): UpstreamRecord? = records[id]
@@ -327,12 +327,6 @@
     }
 
     private companion object {
-        /**
-         * Assumed until a control instance reports the number; high, so that a gateway spends little of the shared
-         * budgets.
-         */
-        const val DEFAULT_GATEWAY_COUNT = 32
-
         /**
          * Upper bound of a random addition to each cost, so that gateways do not all choose the same upstream among
          * near equals.
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory
 import marigoldward.core.dispatch.BudgetSharers
 import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.GatewayCount
 import marigoldward.core.dispatch.PlacementCosts
 import marigoldward.core.dispatch.RetryBudgetShare
 import marigoldward.core.model.InstanceId
@@ -54,6 +55,7 @@
     private val pool = UpstreamPool(loop, dialect)
     private val crashes = CrashSuspicions()
     private val startedMillis = MonotonicClock.nowMillis()
+    private val gatewayCount = GatewayCount()
     private val budgetSharers = BudgetSharers(settings.retryBudgetWindowMillis, startedMillis)
     private val routeSelection = RouteSelection(routeReader, startedMillis)
     private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
@@ -135,9 +137,11 @@
     private fun callerLimits(): CallerLimits = gateway.configuration?.limits ?: CallerLimits.DEFAULT
 
     private fun onFeedUpdate(update: FeedUpdate, isFresh: Boolean) {
-        context.gatewayCount = maxOf(1, update.entryCount)
-        GatewayMetrics.gatewayCount.set(context.gatewayCount.toDouble())
-        budgetSharers.report(context.gatewayCount, isFresh, MonotonicClock.nowMillis())
+        val reportedCount = maxOf(1, update.entryCount)
+        gatewayCount.report(reportedCount, isFresh, MonotonicClock.nowMillis())
+        context.gatewayCount = gatewayCount.count
+        GatewayMetrics.gatewayCount.set(gatewayCount.count.toDouble())
+        budgetSharers.report(reportedCount, isFresh, MonotonicClock.nowMillis())
         logBudgetSharers(update.entryCount, isFresh)
         update.crashCounts?.let { crashes.update(it, MonotonicClock.nowMillis()) }
         if (isFresh) routeSelection.considerWaitingOrNull(isFresh, MonotonicClock.nowMillis())?.let(::apply)
--- a/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/FeedUpdate.kt
@@ -15,7 +15,8 @@
  * @property directoryAgeMillis the time from the reading of the list until the update was made, in milliseconds, or null
  *   if it was never read
  * @property maxStalenessMillis the longest time for which the sender may have missed committed changes, in milliseconds
- * @property entryCount the number of entries that watch the control instances
+ * @property entryCount the number of entries that watch the control instances, or fewer while the sender's state is not
+ *   fresh or entries move to another instance
  * @property members the control instances that are members of the cluster
  * @property dataCentre the data centre of the sender
  * @property crashCounts the crashes under suspected requests, or null if they have not changed since the last update
