Use the first number of gateways from fresh state at once

An entry that starts would have taken the number for an unknown one (32) for 3 s, so that it admitted fewer long prompts than its share after each restart. The hold is there for numbers that fall; a first one has nothing to fall from. The case of GatewayCountTest that asked for the wait is replaced by one that asks for the first number from fresh state and for 32 before it; it passes. What the wait would have cost callers was not measured.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/GatewayCount.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GatewayCount.kt
@@ -5,7 +5,8 @@
  *
  * A reported number may be too small: an instance without fresh state knows only the gateways that follow it, and a
  * gateway that looks for another instance counts at none. Therefore a larger number is used at once, and a smaller one
- * after all reports of [HOLD_MILLIS] were smaller and came from fresh state. Without such reports the number stays.
+ * after all reports of [HOLD_MILLIS] were smaller and came from fresh state. Without such reports the number stays. The
+ * first number from fresh state is used at once, whatever it is.
  *
  * Has no clock of its own and is not thread-safe.
  */
@@ -23,6 +24,7 @@
     public fun report(gateways: Int, isFresh: Boolean, nowMillis: Long) {
         when {
             gateways >= count -> use(gateways)
+            isFresh && knownCount == null -> use(gateways)
             isFresh -> considerSmaller(gateways, nowMillis)
             else -> smaller = null
         }
