Read what has come before a stopping gateway closes and ends

Callers saw connections reset without an answer, long after their requests were sent, if the event loop of a stopping gateway lagged at the end of its grace period.

Cause: the listening socket was closed, and the requests in progress ended, by tasks that run before the loop accepts and reads what came meanwhile, and the process ended 200 ms later in any case. Class: a step that ends something is taken by the clock, without a look at what has come.

Evidence: GracefulShutdownTest, two new cases. Both pass now.

Why it works: both steps run in a delayed task behind another, so that the loop accepts and then reads in between, and one accept event takes all that waits. The gateway then waits until all it has received is answered, for 0.5 s at most, which leaves 0.3 s of the exit margin.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -38,19 +38,38 @@
         }
         awaitRequests(exitMillis)
         // A request that arrives before the listening socket is closed is served like those before it.
-        onLoop {
+        onLoopAfterRead {
             callerServer.stopListening()
             callerServer.closeIdle()
         }
         awaitRequests(exitMillis)
         val requestsLeft = hasRequestsInProgress()
-        onLoop {
+        onLoopAfterRead {
             gateway.endRequests()
             callerServer.refuseIncomplete()
             callerServer.closeIdle()
         }
+        val isAnswered = awaitAnswers()
+        log.info("ended") {
+            field("requests_left", requestsLeft)
+            field("answered", isAnswered)
+        }
+    }
+
+    /**
+     * Waits until all that was received is answered and the sockets have taken the answers, at least [FLUSH_MILLIS] and at
+     * most [MAX_FLUSH_MILLIS]. Returns whether that is so.
+     */
+    private fun awaitAnswers(): Boolean {
+        val endMillis = MonotonicClock.nowMillis() + MAX_FLUSH_MILLIS
         Thread.sleep(FLUSH_MILLIS)
-        log.info("ended") { field("requests_left", requestsLeft) }
+        var isAnswered = false
+        while (!isAnswered && MonotonicClock.nowMillis() < endMillis) {
+            val waitMillis = maxOf(1, endMillis - MonotonicClock.nowMillis())
+            onLoopAfterRead(waitMillis) { isAnswered = !callerServer.isAnswering }
+            if (!isAnswered) Thread.sleep(FLUSH_POLL_MILLIS)
+        }
+        return isAnswered
     }
 
     private fun awaitRequests(untilMillis: Long) {
@@ -73,6 +92,18 @@
         done.await(LOOP_CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** As [onLoop], after the loop has accepted the connections and read the requests that have come by now. */
+    private fun onLoopAfterRead(maxWaitMillis: Long = LOOP_CALL_TIMEOUT_MILLIS, action: () -> Unit) {
+        val done = CountDownLatch(1)
+        // Only a delayed task lets the loop accept and read before it runs; a second one, read what it has accepted.
+        val last = {
+            action()
+            done.countDown()
+        }
+        loop.schedule({ loop.schedule(last, 1, TimeUnit.MILLISECONDS) }, 1, TimeUnit.MILLISECONDS)
+        done.await(maxWaitMillis, TimeUnit.MILLISECONDS)
+    }
+
     private companion object {
         /** The time in which two readiness checks fail, after which no new callers are sent to this gateway. */
         const val READINESS_PROPAGATION_MILLIS = 2_500L
@@ -81,6 +112,10 @@
         const val EXIT_MARGIN_MILLIS = 800L
         const val DRAIN_POLL_MILLIS = 50L
         const val FLUSH_MILLIS = 200L
+        const val FLUSH_POLL_MILLIS = 10L
+
+        /** Leaves time for the process to end before it is killed. */
+        const val MAX_FLUSH_MILLIS = 500L
         const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
         val log = EventLog.fromName("entry")
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.RecvByteBufAllocator
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
 import marigoldward.support.program.ListenAddress
@@ -41,6 +42,9 @@
     /** Whether any connection is not idle, or a request is probably on its way. */
     val isBusy: Boolean get() = connections.any { !it.isIdle || it.isAwaitingRequest }
 
+    /** Whether any connection is not idle. */
+    val isAnswering: Boolean get() = connections.any { !it.isIdle }
+
     /** The port that the server listens on. */
     val port: Int get() = (checkNotNull(listenChannel) { "not started" }.localAddress() as InetSocketAddress).port
 
@@ -52,6 +56,7 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, acceptToTheEnd())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToTheEnd())
                 .childHandler(Initializer())
@@ -108,6 +113,10 @@
     }
 
     private companion object {
+        /** Lets one event take all connections that wait, so that none is left when the listening socket is closed. */
+        fun acceptToTheEnd(): RecvByteBufAllocator =
+            ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG_CONNECTIONS)
+
         /** Lets one read event take all that has come, so that a close behind a request is known when that starts. */
         fun readToTheEnd(): RecvByteBufAllocator =
             AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_EVENT)
--- a/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/GracefulShutdownTest.kt
@@ -24,6 +24,16 @@
 private const val LAG_START_MILLIS = 2_300L
 private const val LAG_END_MILLIS = 7_300L
 
+/** The part of the grace period that a gateway keeps for its exit. */
+private const val EXIT_MARGIN_MILLIS = 800L
+
+/** How long the event loop lags around the end of a grace period. */
+private const val SHORT_LAG_MILLIS = 400L
+
+/** Longer than a stopping gateway waits for an answer of its event loop. */
+private const val LONG_LAG_MILLIS = 1_300L
+private const val LATE_CALLERS = 40
+
 /** How a request ended for its caller. */
 private data class Ending(
     val sentMillis: Long,
@@ -117,6 +127,28 @@
     } while (keepsUsing && ending.isComplete)
 }
 
+/**
+ * Runs [test] while a gateway shuts down that ends its one request in progress at the end of the grace period, with the
+ * moment at which it does so.
+ */
+private fun withBusyShutdown(test: (TestGateway, Long) -> Unit) =
+    FakeUpstream { Thread.sleep(2 * GRACE_MILLIS) }.use { upstream ->
+        TestGateway(listOf(upstream.address to null), timeoutMillis = 2 * GRACE_MILLIS).use { gateway ->
+            gateway.caller().use { busy ->
+                busy.send(request("/n/x", "busy"))
+                Thread.sleep(100)
+                val exitNanos = System.nanoTime() + (GRACE_MILLIS - EXIT_MARGIN_MILLIS) * 1_000_000
+                val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                test(gateway, exitNanos)
+                busy.readResponse()?.status shouldBe 502
+                shutdown.join()
+            }
+        }
+    }
+
+private fun sleepUntil(nanos: Long, offsetMillis: Long) =
+    Thread.sleep((nanos - System.nanoTime()) / 1_000_000 + offsetMillis)
+
 class GracefulShutdownTest :
     DescribeSpec({
         // A stopping gateway took requests until it ended and cut those that were not finished then.
@@ -213,6 +245,35 @@
                 upstream.close()
             }
         }
+        // A stopping gateway that lagged closed connections whose requests had lain in their sockets for long.
+        describe("requests that come while the event loop lags at the end of the grace period") {
+            it("are answered if their connections wait to be accepted") {
+                withBusyShutdown { gateway, exitNanos ->
+                    sleepUntil(exitNanos, SHORT_LAG_MILLIS - LONG_LAG_MILLIS)
+                    val callers = gateway.onLoop {
+                        val late = List(LATE_CALLERS) { gateway.caller() }
+                        late.forEach { it.send(request("/i/x", "late")) }
+                        Thread.sleep(LONG_LAG_MILLIS)
+                        late
+                    }
+                    callers.map { caller -> caller.use { it.readResponse()?.status } } shouldBe
+                        List(LATE_CALLERS) { 503 }
+                }
+            }
+            it("are answered if they come just before the exit") {
+                withBusyShutdown { gateway, exitNanos ->
+                    sleepUntil(exitNanos, -SHORT_LAG_MILLIS)
+                    gateway.caller().use { caller ->
+                        sleepUntil(exitNanos, SHORT_LAG_MILLIS / 4)
+                        gateway.onLoop {
+                            caller.send(request("/i/x", "late"))
+                            Thread.sleep(SHORT_LAG_MILLIS)
+                        }
+                        caller.readResponse()?.status shouldBe 503
+                    }
+                }
+            }
+        }
         describe("a connection that the gateway has not accepted when it stops listening") {
             it("is reset, and its request is not forwarded") {
                 FakeUpstream { it.respond("done") }.use { upstream ->
