--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/SlowCallerTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/SlowCallerTest.kt
@@ -11,6 +11,7 @@
 import marigoldward.gateway.RawCaller
 import marigoldward.gateway.TestGateway
 import java.net.SocketException
+import kotlin.concurrent.thread
 
 /** The limit of a body. It exceeds what the sockets take of a response that the caller does not read. */
 private const val BODY_BYTES = 4 * 1024 * 1024
@@ -24,6 +25,7 @@
 private const val SLOW_READ_PAUSE_MILLIS = 10L
 private const val STALL_MILLIS = 700L
 private const val TIMEOUT_MILLIS = 8_000L
+private const val GRACE_MILLIS = 3_000L
 
 private fun request(path: String, headers: String = "", version: String = "1.1"): String =
     "GET $path HTTP/$version\r\nHost: h.example\r\nX-Id: 1\r\n$headers\r\n"
@@ -102,6 +104,31 @@
                 }
             }
         }
+        // Guards against a response that is cut off by the end of the process while its caller still takes it.
+        describe("a caller that reads nothing until the gateway has begun to stop gets the whole response") {
+            it("of a plain service") {
+                withSlowCaller(stage = null, { it.respond(BODY) }) { caller, gateway ->
+                    caller.send(request("/i/x"))
+                    Thread.sleep(STALL_MILLIS)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    Thread.sleep(GRACE_MILLIS / 2)
+                    caller.readResponse()?.body?.length shouldBe BODY_BYTES
+                    shutdown.join()
+                }
+            }
+            it("of a stream, the rest of which waits at the upstream") {
+                withSlowCaller(EngineStage.DECODE, ::streamEvents) { caller, gateway ->
+                    caller.send(request("/s/x"))
+                    Thread.sleep(STALL_MILLIS)
+                    val shutdown = thread { gateway.shutDown(GRACE_MILLIS) }
+                    Thread.sleep(GRACE_MILLIS / 2)
+                    val response = caller.readResponse().shouldNotBeNull()
+                    response.isComplete shouldBe true
+                    response.body shouldEndWith event(EVENTS)
+                    shutdown.join()
+                }
+            }
+        }
         // Guards against an orderly end of a response that the caller has not taken, which looks complete.
         describe("a caller that reads nothing for the idle timeout") {
             it("has its connection reset") {
