Keep the decoder of a connection that has read a part of a head

Callers got 400 for proper requests beside a change of the configuration.

Cause: limits that changed replace the decoder of an open connection between requests, and it counted as between them if it held no bytes. It keeps lines that it has decoded as well: if the first lines of a request came with the request before it, the rest was read as the start of a request. Class: a state is inferred from one of the places that hold it.

Evidence: ChangedLimitsTest, a request and the first two lines of the next in one write, a change of limits, the rest: 400 before, 200 now.

Why it works: the decoder records whether it is within a request, whichever form the part that it has read is kept in.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -102,7 +102,7 @@
     private inner class ReceiveNotifier(private val connection: CallerConnection, private var decoder: RequestDecoder) :
         ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (decoder.limits != limits && connection.isBetweenRequests && !decoder.hasUndecodedBytes) {
+            if (decoder.limits != limits && connection.isBetweenRequests && !decoder.isWithinRequest) {
                 val next = RequestDecoder(limits)
                 context.pipeline().replace(decoder, null, next)
                 decoder = next
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
@@ -1,8 +1,11 @@
 package marigoldward.gateway.caller
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.LastHttpContent
 import marigoldward.core.routes.CallerLimits
 
 /**
@@ -11,8 +14,21 @@
  * @property limits the limits that it applies to heads
  */
 internal class RequestDecoder(val limits: CallerLimits) : HttpRequestDecoder(config(limits)) {
-    /** Whether it keeps bytes that it has not decoded yet. */
-    val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
+    private var hasBegunRequest = false
+
+    /** Whether it holds a part of a request that is not complete, as bytes or as lines that it has decoded. */
+    val isWithinRequest: Boolean get() = hasBegunRequest || actualReadableBytes() > 0
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        val undecodedBytes = buffer.readableBytes()
+        val decodedCount = out.size
+        super.decode(context, buffer, out)
+        if (out.size > decodedCount) {
+            hasBegunRequest = out.last() !is LastHttpContent
+        } else if (buffer.readableBytes() < undecodedBytes) {
+            hasBegunRequest = true
+        }
+    }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("the request has both Content-Length and Transfer-Encoding")
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/ChangedLimitsTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/ChangedLimitsTest.kt
@@ -54,5 +54,16 @@
                     caller.readResponse().shouldNotBeNull().status shouldBe 200
                 }
             }
+            // A request got 400 if the lines that came with the request before it were decoded before the change.
+            it("a head that had begun to come with the request before is understood") {
+                withKeptConnection(SMALL) { gateway, caller ->
+                    val lines = "GET /i/x HTTP/1.1\r\nHost: h.example\r\n"
+                    caller.send(request(100) + lines)
+                    caller.readResponse().shouldNotBeNull().status shouldBe 200
+                    gateway.limits = LARGE
+                    caller.send(request(100).removePrefix(lines))
+                    caller.readResponse().shouldNotBeNull().status shouldBe 200
+                }
+            }
         }
     })
