--- a/bench/src/main/kotlin/marigoldward/bench/fleet/PortAllocation.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/fleet/PortAllocation.kt
@@ -1,5 +1,7 @@
 package marigoldward.bench.fleet
 
+import marigoldward.support.net.FreePorts
+
 /** The loopback ports of every process of a fleet. */
 internal class PortAllocation private constructor(private val ports: Map<String, ProcessPorts>) {
     private data class ProcessPorts(val listen: Int, val operator: Int, val caller: Int)
