Give an attempt up after a time without bytes, not after a time

Callers of idempotent routes waited for a second run of a request whose answer was half there, or to their deadline. Services that answer over time and are slow as a whole had their work doubled, and the retry budget was spent on it.

Cause: PlainSession timed an attempt from its start, once, and didn't look at what had come. Where the retry budget was empty at that moment it was not asked again, and an answer that stopped later was not noticed.

An attempt is now overdue after twice the route's target without a byte of its response, and watched until it ends. The deadline of the request still ends an answer that trickles, and nothing that came at all is repeated after the same time as before.

Evidence: OverdueAnswerTest failed before in all four tests: 40 runs for 20 requests; an answer that stopped after 0.7 s given up at 0.63 s; a trickling answer run twice; a request without budget at its first check answered 504 though budget came. After, each passed, with ForwardingTest, in one run.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -68,26 +68,38 @@
             cacheSource = null,
             needsFreshConnection = !request.route.isRepeatable,
         )
-        if (request.route.isRepeatable) scheduleUntilEnd(overdueMillis()) { retryIfOverdue(attempt) }
+        if (request.route.isRepeatable) watchForOverdue(attempt, overdueMillis())
+    }
+
+    private fun watchForOverdue(attempt: UpstreamAttempt, delayMillis: Long) {
+        scheduleUntilEnd(delayMillis) { retryIfOverdue(attempt) }
     }
 
     private fun overdueMillis(): Long = request.route.targetLatencyMillis * OVERDUE_TARGETS
 
-    /** Sends the request to another upstream, as an overdue response may be lost, if the retry budget allows it. */
+    /**
+     * Sends the request to another upstream if no bytes of the response came for as long as it takes to be overdue, as it
+     * may be lost, and if the retry budget allows it. Otherwise the attempt goes on and is watched until the deadline.
+     */
     private fun retryIfOverdue(attempt: UpstreamAttempt) {
         if (hasEnded || currentAttempt !== attempt) return
-        val historyIfRetried = history.after(AttemptEnd.SILENT)
-        if (historyIfRetried.possibleRuns >= request.route.maxAttempts ||
-            remainingMillis < overdueMillis() ||
-            !takeFromRetryBudget()
-        ) {
-            return
+        val silentMillis = attempt.silentMillis
+        when {
+            silentMillis < overdueMillis() -> watchForOverdue(attempt, overdueMillis() - silentMillis)
+            !mayRepeat() -> Unit
+            !takeFromRetryBudget() -> watchForOverdue(attempt, overdueMillis())
+            else -> {
+                attempt.cancel(AttemptEnd.SILENT, "nothing came for $silentMillis ms")
+                recordAttemptEnd(attempt.upstream.id, AttemptEnd.SILENT)
+                startNextAttempt()
+            }
         }
-        attempt.cancel(AttemptEnd.SILENT, "no answer after ${attempt.ageMillis} ms")
-        recordAttemptEnd(attempt.upstream.id, AttemptEnd.SILENT)
-        startNextAttempt()
     }
 
+    /** Whether the route and the time that is left allow another attempt after an overdue one. */
+    private fun mayRepeat(): Boolean =
+        history.after(AttemptEnd.SILENT).possibleRuns < request.route.maxAttempts && remainingMillis >= overdueMillis()
+
     private fun onAttemptFailed(attempt: UpstreamAttempt, end: AttemptEnd, reason: String) {
         if (hasEnded || currentAttempt !== attempt) return
         attempt.recordEnd(end, reason)
@@ -123,7 +135,10 @@
     }
 
     private companion object {
-        /** A response to a repeatable request is overdue after this multiple of the target latency of its route. */
+        /**
+         * A response to a repeatable request is overdue if nothing of it came for this multiple of the target latency of
+         * its route.
+         */
         const val OVERDUE_TARGETS = 2
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -51,6 +51,12 @@
     /** The time since the request was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
+    /** When bytes of the response were last received, in milliseconds of monotonic time, or null if none were. */
+    private var lastReceivedMillis: Long? = null
+
+    /** The time since bytes of the response were last received, or since the request was sent, in milliseconds. */
+    val silentMillis: Long get() = context.nowMillis() - (lastReceivedMillis ?: attempt.startedMillis)
+
     /**
      * Sends [head] with the body of the request. The upstream has [prefillTokens] prompt tokens to process, fewer if it
      * copies a cached prefix from [cacheSource].
@@ -123,6 +129,7 @@
             val isOwn = reported.answeredBy == upstream.id.text
             val metadata = if (isOwn) reported.copy(isMisdirected = false) else reported
             val nowMillis = context.nowMillis()
+            lastReceivedMillis = nowMillis
             context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
             metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
             context.recordAnnouncement(upstream, reported)
@@ -130,7 +137,9 @@
         }
 
         override fun onData(data: ByteArray) {
-            context.dispatcher.recordReceived(upstream.id, null, context.nowMillis())
+            val nowMillis = context.nowMillis()
+            lastReceivedMillis = nowMillis
+            context.dispatcher.recordReceived(upstream.id, null, nowMillis)
             listener.onData(data)
         }
 
