Watch an engine for silence until its answer begins

Callers of streams whose engine was gone, without a reset, waited to their deadline for an answer although other engines were free, if the engine had sent one byte for any other request after theirs was sent.

Cause: StreamSession checked once, 0.8 s after the start of an attempt, that nothing at all had come from the engine since the start; if something had, the attempt was not looked at again.

The engine is now probed whenever it has been silent for 0.8 s while the answer of the attempt hasn't begun, prefills included. An engine that accepts a connection is still awaited, so slow engines lose nothing.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -147,19 +147,27 @@
     )
 
     /**
-     * Fails the attempt if the engine sends nothing at all and accepts no connections: it has crashed or is cut off.
+     * Fails the attempt if, before its answer begins, the engine sends nothing at all for [PROBE_AFTER_MILLIS] and accepts
+     * no connections: it has crashed or is cut off.
      */
-    private fun watchForSilence(attempt: UpstreamAttempt) {
-        scheduleUntilEnd(PROBE_AFTER_MILLIS) {
-            if (!hasEnded && currentAttempt === attempt && attempt.hasReceivedNothing) {
-                attempt.probe { isReachable -> onProbed(attempt, isReachable) }
-            }
+    private fun watchForSilence(attempt: UpstreamAttempt, delayMillis: Long = PROBE_AFTER_MILLIS) {
+        scheduleUntilEnd(delayMillis) {
+            if (isAwaited(attempt)) ifSilent(attempt) { attempt.probe { onProbed(attempt, it) } }
         }
     }
 
+    private fun isAwaited(attempt: UpstreamAttempt): Boolean =
+        !hasEnded && currentAttempt === attempt && !attempt.hasResponseBegun
+
     private fun onProbed(attempt: UpstreamAttempt, isReachable: Boolean) {
-        if (hasEnded || currentAttempt !== attempt || !attempt.hasReceivedNothing) return
-        if (isReachable) watchForSilence(attempt) else onSilent(attempt)
+        if (!isAwaited(attempt)) return
+        if (isReachable) watchForSilence(attempt) else ifSilent(attempt) { onSilent(attempt) }
+    }
+
+    /** Runs [action] if the engine has been silent for [PROBE_AFTER_MILLIS], and watches on otherwise. */
+    private fun ifSilent(attempt: UpstreamAttempt, action: () -> Unit) {
+        val restMillis = PROBE_AFTER_MILLIS - attempt.upstreamSilentMillis
+        if (restMillis > 0) watchForSilence(attempt, restMillis) else action()
     }
 
     private fun onSilent(attempt: UpstreamAttempt) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -41,13 +41,19 @@
     var knownCrashes: Map<Fingerprint, Int> = emptyMap()
         private set
 
-    /** Whether no bytes at all were received from the upstream, for any request, since this request was sent. */
-    val hasReceivedNothing: Boolean
+    /**
+     * The time since bytes were last received from the upstream, for any request, or since this request was sent, in
+     * milliseconds.
+     */
+    val upstreamSilentMillis: Long
         get() {
-            val record = context.dispatcher.recordOrNull(upstream.id) ?: return true
-            return record.health.lastReceivedMillis < attempt.startedMillis
+            val lastMillis = context.dispatcher.recordOrNull(upstream.id)?.health?.lastReceivedMillis
+            return context.nowMillis() - maxOf(attempt.startedMillis, lastMillis ?: attempt.startedMillis)
         }
 
+    /** Whether bytes of the response were received. */
+    val hasResponseBegun: Boolean get() = lastReceivedMillis != null
+
     /** The time since the request was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
