Use upstreams that break off answers where no others are left

Callers of a service all of whose upstreams fail a part of their requests were refused for 0.5 s at a time, though most answers would have been sound: after one reset of all connections, or two malformed answers.

Cause: an ejection says that other upstreams are better, and was also applied where there are none. Two answers that break off at once eject an upstream; a malformed answer didn't count as bytes received, so two in a row did as well.

Where no upstream of a stage is healthy, those whose latest failure is an answer that had begun are used now, by cost. An attempt that can't connect ends that, as does silence or a refusal; a sound upstream is still preferred.

Evidence: DispatcherTest placed nothing before.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -251,12 +251,19 @@
             .flatMap { sameStage -> healthyOrRecovering(sameStage, nowMillis) }
 
     /**
-     * Returns the healthy records. If there are none, as after a network failure, returns those that may have
-     * recovered.
+     * Returns the healthy records. If there are none, returns those that may have recovered, as after a network failure,
+     * and those that have broken off answers: an ejection says that others are better, and there are no others.
      */
     private fun healthyOrRecovering(records: List<UpstreamRecord>, nowMillis: Long): List<UpstreamRecord> = records
         .filter { isHealthy(it, nowMillis) }
-        .ifEmpty { records.filter { it.health.isBaseEjectionOver(nowMillis) && acceptsAttempt(it, nowMillis) } }
+        .ifEmpty { records.filter { mayHaveRecovered(it, nowMillis) || mayAnswerNext(it, nowMillis) } }
+
+    private fun mayHaveRecovered(record: UpstreamRecord, nowMillis: Long): Boolean =
+        record.health.isBaseEjectionOver(nowMillis) && acceptsAttempt(record, nowMillis)
+
+    /** Whether the upstream was reached by its latest failed attempt and is neither silent nor refuses requests. */
+    private fun mayAnswerNext(record: UpstreamRecord, nowMillis: Long): Boolean =
+        record.health.hasBrokenOff && isOpen(record, nowMillis)
 
     /** Whether the ejection of the upstream is over and it accepts another attempt. */
     private fun isHealthy(record: UpstreamRecord, nowMillis: Long): Boolean =
@@ -268,9 +275,13 @@
      */
     private fun acceptsAttempt(record: UpstreamRecord, nowMillis: Long): Boolean {
         val isBeingTried = record.health.isSuspect && record.attempts.isNotEmpty()
-        return !isBeingTried && !isSilent(record, nowMillis) && nowMillis >= record.health.refusesUntilMillis
+        return !isBeingTried && isOpen(record, nowMillis)
     }
 
+    /** Whether the upstream is not silent and does not refuse requests for the time being. */
+    private fun isOpen(record: UpstreamRecord, nowMillis: Long): Boolean =
+        !isSilent(record, nowMillis) && nowMillis >= record.health.refusesUntilMillis
+
     /**
      * Whether an attempt has gone unanswered for too long. Never true in the prefill stage, where an engine sends
      * nothing until it has processed the whole prompt, however long other requests wait.
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -10,6 +10,8 @@
  * @property lastReceivedMillis when bytes were last received, in milliseconds of monotonic time
  * @property refusesUntilMillis when the upstream accepts requests again according to its last refusal, in milliseconds
  *   of monotonic time
+ * @property hasBrokenOff whether the latest failure was an answer that had begun: the upstream has been reached, and may
+ *   answer the next request
  */
 public data class UpstreamHealth(
     val consecutiveFailures: Int,
@@ -18,6 +20,7 @@
     val lastFailureMillis: Long,
     val lastReceivedMillis: Long,
     val refusesUntilMillis: Long = Long.MIN_VALUE,
+    val hasBrokenOff: Boolean = false,
 ) {
     /** Whether the latest attempts failed and nothing has been received since. */
     val isSuspect: Boolean get() = consecutiveFailures > 0 && lastReceivedMillis <= lastFailureMillis
@@ -35,10 +38,16 @@
         AttemptEnd.FAILED -> withFailureSample(1.0).copy(consecutiveFailures = 0)
         AttemptEnd.NOT_RUN -> withFailureSample(1.0).copy(consecutiveFailures = 0)
         AttemptEnd.MISDIRECTED ->
-            copy(ejectedUntilMillis = nowMillis + MISDIRECTED_EJECTION_MILLIS, lastFailureMillis = nowMillis)
+            copy(
+                ejectedUntilMillis = nowMillis + MISDIRECTED_EJECTION_MILLIS,
+                lastFailureMillis = nowMillis,
+                hasBrokenOff = false,
+            )
         AttemptEnd.UNREACHABLE -> withFailureSample(1.0).ejected(nowMillis)
         AttemptEnd.BROKEN ->
-            withFailureSample(1.0).let { if (it.isSuspect) it.ejected(nowMillis) else it.suspected(nowMillis) }
+            withFailureSample(1.0)
+                .let { if (it.isSuspect) it.ejected(nowMillis) else it.suspected(nowMillis) }
+                .copy(hasBrokenOff = lastReceivedMillis >= startedMillis)
         AttemptEnd.SILENT ->
             if (lastReceivedMillis > startedMillis) {
                 withFailureSample(1.0)
@@ -59,6 +68,7 @@
             consecutiveFailures = consecutiveFailures + 1,
             ejectedUntilMillis = nowMillis + ejectionMillis,
             lastFailureMillis = nowMillis,
+            hasBrokenOff = false,
         )
     }
 
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -59,6 +59,17 @@
     recordEnd(attempt, AttemptEnd.ANSWERED, untilMillis)
 }
 
+private fun Dispatcher.chosenId(nowMillis: Long): String =
+    place(SERVICE, emptySet(), nowMillis).shouldBeInstanceOf<Placement.Single>().upstream.id.text
+
+/** Records two answers of the upstream [name] that have begun at 5 and break off at 10. */
+private fun Dispatcher.breakOffTwo(name: String) {
+    val id = UpstreamId.parse(name)
+    val attempts = List(2) { recordStart(id, null, 0, 0) }
+    recordReceived(id, null, 5)
+    attempts.forEach { recordEnd(it, AttemptEnd.BROKEN, 10) }
+}
+
 class DispatcherTest :
     DescribeSpec({
         describe("a request to a plain service") {
@@ -143,6 +154,42 @@
             }
         }
 
+        describe("a dispatcher whose upstreams have all broken off answers that had begun") {
+            // Guards against a service that is refused for 0.5 s since all its upstreams break off a part of their answers.
+            it("goes on to send to them, several requests at once") {
+                val ids = List(3) { "one-$it" }
+                val dispatcher = dispatcher(*ids.map { upstream(it) }.toTypedArray())
+                ids.forEach { dispatcher.breakOffTwo(it) }
+                val placed = List(9) { number ->
+                    val chosen = dispatcher.place(SERVICE, emptySet(), 20L + number)
+                    val id = chosen.shouldBeInstanceOf<Placement.Single>().upstream.id
+                    dispatcher.recordStart(id, null, 0, 20L + number)
+                    id
+                }
+                placed.toSet().map { it.text }.sorted() shouldBe ids
+            }
+            it("still prefers an upstream that has not") {
+                val dispatcher = dispatcher(upstream("broken"), upstream("sound"))
+                dispatcher.breakOffTwo("broken")
+                repeat(10) { dispatcher.chosenId(20) shouldBe "sound" }
+            }
+            it("avoids one that can't be reached since") {
+                val dispatcher = dispatcher(upstream("one"))
+                dispatcher.breakOffTwo("one")
+                val attempt = dispatcher.recordStart(UpstreamId.parse("one"), null, 0, 20)
+                dispatcher.recordEnd(attempt, AttemptEnd.UNREACHABLE, 21)
+                dispatcher.place(SERVICE, emptySet(), 30) shouldBe Placement.None(Placement.Reason.NONE_USABLE)
+            }
+            it("avoids one that has asked for no requests or is silent since") {
+                val dispatcher = dispatcher(upstream("refuses"), upstream("silent"))
+                listOf("refuses", "silent").forEach { dispatcher.breakOffTwo(it) }
+                dispatcher.recordRefusal(UpstreamId.parse("refuses"), 1_000, 20)
+                dispatcher.recordStart(UpstreamId.parse("silent"), null, 0, 20)
+                dispatcher.chosenId(30) shouldBe "silent"
+                dispatcher.place(SERVICE, emptySet(), 700) shouldBe Placement.None(Placement.Reason.NONE_USABLE)
+            }
+        }
+
         describe("prompts with a shared prefix, from gateways that do not communicate") {
             it("are processed by the same engine") {
                 val engines = prefillEngines(4) + upstream("decoder", EngineStage.DECODE)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -156,6 +156,12 @@
 
         override fun onEnd() = listener.onEnd()
 
-        override fun onFailure(failure: UpstreamFailure) = listener.onFailure(failure)
+        /** Malformed bytes were received too. */
+        override fun onFailure(failure: UpstreamFailure) {
+            if (failure is UpstreamFailure.Broken) {
+                context.dispatcher.recordReceived(upstream.id, null, context.nowMillis())
+            }
+            listener.onFailure(failure)
+        }
     }
 }
