Keep suspects apart at prefill engines too

A caller's sound request could be quarantined beside the one that crashed two engines, if both were repeated with the same prefill engine.

Cause: the rule that an engine takes one suspect of an entry at a time looked at the attempts that an engine answers. An attempt with split stages is kept at its decode engine, so its prefill engine looked free of suspects.

A suspect now goes to no engine that runs another one, be it that it prefills or that it answers; after the prefill, the prefill engine is free again.

Evidence: the new test of ServingTest got two dispatches where one is due before, and passed after with all tests of core.serving.

--- a/core/src/main/kotlin/marigoldward/core/serving/InFlightAttempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/InFlightAttempt.kt
@@ -1,5 +1,7 @@
 package marigoldward.core.serving
 
+import marigoldward.core.model.UpstreamId
+
 /**
  * An attempt that was sent to an upstream and has not ended.
  *
@@ -13,4 +15,11 @@
     val dispatchedMillis: Long,
     val prefillTokens: Long,
     val isPrefilled: Boolean,
-)
+) {
+    /** The upstreams that work on the attempt now, or soon will. */
+    internal val runningUpstreams: Set<UpstreamId>
+        get() = when (route) {
+            is Route.Single -> setOf(route.upstream)
+            is Route.Split -> if (isPrefilled) setOf(route.decode) else setOf(route.prefill, route.decode)
+        }
+}
--- a/core/src/main/kotlin/marigoldward/core/serving/internal/Candidates.kt
+++ b/core/src/main/kotlin/marigoldward/core/serving/internal/Candidates.kt
@@ -19,7 +19,11 @@
     /** Returns the upstreams that may take [work]; of a large pool, only those in a random sample. */
     fun forWork(state: ServingState, pool: ServingState.PoolState, work: PendingWork, nowMillis: Long): Sample {
         val sampled = sample(state, pool, work)
-        return sampled.copy(upstreams = sampled.upstreams.filter { mayTake(state, it, work, nowMillis) })
+        val usable = sampled.upstreams.filter { mayTake(state, it, nowMillis) }
+        if (!work.isSuspect) return sampled.copy(upstreams = usable)
+        val withSuspect = upstreamsWithSuspect(state, pool)
+        val upstreams = usable.filter { it.info.id !in withSuspect && isForSuspectsOfThisEntry(state, it) }
+        return sampled.copy(upstreams = upstreams)
     }
 
     /** Returns whether [upstream] may get any requests, regardless of its health and load. */
@@ -68,10 +72,8 @@
         return listOf(best, second).distinct().take(PREFERRED_UPSTREAM_COUNT)
     }
 
-    private fun mayTake(state: ServingState, upstream: UpstreamState, work: PendingWork, nowMillis: Long): Boolean =
-        isUsable(state, upstream) &&
-            isHealthyOrMayBeProbed(upstream, nowMillis) &&
-            (!work.isSuspect || mayTakeSuspect(state, upstream))
+    private fun mayTake(state: ServingState, upstream: UpstreamState, nowMillis: Long): Boolean =
+        isUsable(state, upstream) && isHealthyOrMayBeProbed(upstream, nowMillis)
 
     /** Returns whether [upstream] is not ejected; after an ejection, one attempt at a time may probe it. */
     private fun isHealthyOrMayBeProbed(upstream: UpstreamState, nowMillis: Long): Boolean {
@@ -81,16 +83,24 @@
     }
 
     /**
-     * Returns whether [upstream] may take a request that was running when another upstream crashed.
+     * Returns the upstreams of [pool] that run a suspect of this entry, be it that they prefill or that they answer it.
      *
-     * An upstream takes one suspect of an entry at a time, so that a second crash can be attributed to one request. To
-     * keep the suspects of several entries apart too, each entry uses only the upstreams assigned to it, provided that
-     * the pool has enough of them.
+     * An upstream takes one suspect of an entry at a time, so that a second crash can be attributed to one request.
      */
-    private fun mayTakeSuspect(state: ServingState, upstream: UpstreamState): Boolean {
-        val hasSuspect = upstream.inFlight.values.any { it.work.isSuspect }
-        return !hasSuspect && (state.entries.size <= 1 || isAssignedForSuspects(state, upstream))
-    }
+    private fun upstreamsWithSuspect(state: ServingState, pool: ServingState.PoolState): Set<UpstreamId> = pool.members
+        .flatMap { state.upstreams.getValue(it).inFlight.values }
+        .filter { it.work.isSuspect }
+        .flatMap { it.runningUpstreams }
+        .toSet()
+
+    /**
+     * Returns whether this entry may send suspects to [upstream].
+     *
+     * To keep the suspects of several entries apart, each entry uses only the upstreams assigned to it, provided that the
+     * pool has enough of them.
+     */
+    private fun isForSuspectsOfThisEntry(state: ServingState, upstream: UpstreamState): Boolean =
+        state.entries.size <= 1 || isAssignedForSuspects(state, upstream)
 
     private fun isAssignedForSuspects(state: ServingState, upstream: UpstreamState): Boolean {
         val pool = state.pools[upstream.info.pool] ?: return true
--- a/core/src/test/kotlin/marigoldward/core/serving/ServingTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/serving/ServingTest.kt
@@ -209,6 +209,20 @@
                 repeated shouldHaveSize 3
                 repeated.map { it.route.answeringUpstream }.toSet() shouldHaveSize 3
             }
+            // Guards against a sound request that is quarantined as it shared two crashed engines with the one that crashed them.
+            it("are not prefilled on one engine at once, nor on one that answers another suspect") {
+                val fixture = ServingFixture(engines = 4, slots = 4)
+                fixture.report(fixture.engineIds[0], role = EngineRole.PREFILL)
+                (1..3).forEach { fixture.report(fixture.engineIds[it], role = EngineRole.DECODE) }
+                val all = (1..2).flatMap { fixture.arrive(fixture.spec(fingerprint = "bad$it")) }.dispatches()
+                val broken = all.flatMap { fixture.finish(it, AttemptResult.Broken(0, isCrash = true)) }
+                val first = (broken + fixture.advance(2_000)).dispatches().single()
+                first.route.shouldBeInstanceOf<Route.Split>().prefill shouldBe fixture.engineIds[0]
+                val prefilled = fixture.handle(ServingEvent.AttemptPrefilled(first.id, first.attempt))
+                val second = (prefilled + fixture.advance(100)).dispatches().single()
+                second.id shouldNotBe first.id
+                second.route.answeringUpstream shouldNotBe first.route.answeringUpstream
+            }
         }
         describe("engines that crashed") {
             it("may leave no engine that a suspect may use, which does not delay other requests of its class") {
