--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -41,16 +41,28 @@
     var knownCrashes: Map<Fingerprint, Int> = emptyMap()
         private set
 
-    /** Whether no bytes at all were received from the upstream, for any request, since this request was sent. */
-    val hasReceivedNothing: Boolean
+    /**
+     * The time since bytes were last received from the upstream, for any request, or since this request was sent, in
+     * milliseconds.
+     */
+    val upstreamSilentMillis: Long
         get() {
-            val record = context.dispatcher.recordOrNull(upstream.id) ?: return true
-            return record.health.lastReceivedMillis < attempt.startedMillis
+            val lastMillis = context.dispatcher.recordOrNull(upstream.id)?.health?.lastReceivedMillis
+            return context.nowMillis() - maxOf(attempt.startedMillis, lastMillis ?: attempt.startedMillis)
         }
 
+    /** Whether bytes of the response were received. */
+    val hasResponseBegun: Boolean get() = lastReceivedMillis != null
+
     /** The time since the request was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
+    /** When bytes of the response were last received, in milliseconds of monotonic time, or null if none were. */
+    private var lastReceivedMillis: Long? = null
+
+    /** The time since bytes of the response were last received, or since the request was sent, in milliseconds. */
+    val silentMillis: Long get() = context.nowMillis() - (lastReceivedMillis ?: attempt.startedMillis)
+
     /**
      * Sends [head] with the body of the request. The upstream has [prefillTokens] prompt tokens to process, fewer if it
      * copies a cached prefix from [cacheSource].
@@ -123,6 +135,7 @@
             val isOwn = reported.answeredBy == upstream.id.text
             val metadata = if (isOwn) reported.copy(isMisdirected = false) else reported
             val nowMillis = context.nowMillis()
+            lastReceivedMillis = nowMillis
             context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
             metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
             context.recordAnnouncement(upstream, reported)
@@ -130,7 +143,9 @@
         }
 
         override fun onData(data: ByteArray) {
-            context.dispatcher.recordReceived(upstream.id, null, context.nowMillis())
+            val nowMillis = context.nowMillis()
+            lastReceivedMillis = nowMillis
+            context.dispatcher.recordReceived(upstream.id, null, nowMillis)
             listener.onData(data)
         }
 
@@ -141,6 +156,12 @@
 
         override fun onEnd() = listener.onEnd()
 
-        override fun onFailure(failure: UpstreamFailure) = listener.onFailure(failure)
+        /** Malformed bytes were received too. */
+        override fun onFailure(failure: UpstreamFailure) {
+            if (failure is UpstreamFailure.Broken) {
+                context.dispatcher.recordReceived(upstream.id, null, context.nowMillis())
+            }
+            listener.onFailure(failure)
+        }
     }
 }
