Wait without a limit only for an address that is in use

A process of the platform that may not bind its address, as without permission, waited for it for ever, with a line that calls it in use. The JDK throws the same exception for both.

The wait without a limit applies to what the system calls in use; anything else ends the start after the bounded wait, as before.

--- a/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
@@ -15,6 +15,9 @@
     private const val RETRY_MILLIS = 50L
     private const val LATER_RETRY_MILLIS = 500L
     private const val LOG_PERIOD_MILLIS = 10_000L
+
+    /** What the system's message for an address in use contains. */
+    private const val IN_USE = "in use"
     private val log = EventLog.fromName("listen")
 
     /**
@@ -40,7 +43,7 @@
                 if (!isAddressProblem(failure)) throw failure
                 val nowMillis = MonotonicClock.nowMillis()
                 val waitedMillis = nowMillis - startMillis
-                if (isOver(wait, waitedMillis, address)) throw notBound(address, failure, waitedMillis)
+                if (isOver(wait, waitedMillis, address, failure)) throw notBound(address, failure, waitedMillis)
                 if (loggedMillis == null || nowMillis - loggedMillis >= LOG_PERIOD_MILLIS) {
                     logWait(address, failure, wait, waitedMillis)
                     loggedMillis = nowMillis
@@ -50,21 +53,29 @@
         }
     }
 
-    private fun isOver(wait: ListenWait, waitedMillis: Long, address: InetSocketAddress): Boolean = when (wait) {
+    private fun isOver(
+        wait: ListenWait,
+        waitedMillis: Long,
+        address: InetSocketAddress,
+        failure: Exception,
+    ): Boolean = when (wait) {
         is ListenWait.Bounded -> waitedMillis >= wait.maxMillis
         ListenWait.UntilFree -> {
             Termination.checkNotRequested()
-            waitedMillis >= MAX_WAIT_MILLIS && !isOfThisMachine(address)
+            waitedMillis >= MAX_WAIT_MILLIS && !(saysInUse(addressProblemOrNull(failure)) && isOfThisMachine(address))
         }
     }
 
+    /** Whether [failure] is for an address in use, and not for one that the process may not bind. */
+    private fun saysInUse(failure: BindException?): Boolean = failure?.message.orEmpty().contains(IN_USE)
+
     /** Whether a socket can be bound to the IP of [address] at any port. */
     private fun isOfThisMachine(address: InetSocketAddress): Boolean = try {
         ServerSocket(0, 1, address.address).close()
         true
     } catch (failure: BindException) {
         // All ports may be in use.
-        failure.message.orEmpty().contains("in use")
+        saysInUse(failure)
     } catch (_: IOException) {
         true
     }
--- a/support/src/main/kotlin/marigoldward/support/program/ListenWait.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/ListenWait.kt
@@ -7,7 +7,7 @@
 
     /**
      * Until the address is free or the process is asked to terminate. For [ListenAddress.MAX_WAIT_MILLIS] only if the
-     * IP address isn't one of the machine.
+     * IP address isn't one of the machine, or the process may not bind the address.
      */
     public data object UntilFree : ListenWait
 }
--- a/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
@@ -2,10 +2,13 @@
 
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import marigoldward.support.http.StreamingUndertow
+import marigoldward.support.time.MonotonicClock
 import org.http4k.core.Response
 import org.http4k.core.Status
+import java.net.BindException
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -29,6 +32,20 @@
                 server.stop()
             }
         }
+        // Guards against a process that waits for ever for an address that it may not bind.
+        describe("an address that the process may not bind") {
+            it("is waited for no longer than a process needs to end, also by a wait without a limit") {
+                val address = InetSocketAddress("127.0.0.1", 1)
+                val startMillis = MonotonicClock.nowMillis()
+                shouldThrow<BindException> {
+                    ListenAddress.bindWhenFree(address, ListenWait.UntilFree) {
+                        throw BindException("Permission denied")
+                    }
+                }
+                MonotonicClock.nowMillis() - startMillis shouldBeInRange
+                    ListenAddress.MAX_WAIT_MILLIS..ListenAddress.MAX_WAIT_MILLIS + 1_000
+            }
+        }
         describe("a failure that no waiting mends") {
             it("is passed on at once") {
                 var calls = 0
