Tell an address in use from the tables of sockets too

The wait without a limit depended on the wording of a system's message, which is translated where the process is given another language: the wait ended after 5 s and the process with it. The new case of ListenAddressTest failed after 5.1 s before; it passes now, with the tables asked where the message does not say it.

--- a/support/src/main/kotlin/marigoldward/support/program/AddressHolder.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/AddressHolder.kt
@@ -25,6 +25,13 @@
     UNKNOWN,
     ;
 
+    /** Whether the tables show a socket that has the address. */
+    internal val isSocket: Boolean
+        get() = when (this) {
+            LISTENING, SELF_CONNECTED, CONNECTED, TIME_WAIT -> true
+            NOT_SHOWN, UNKNOWN -> false
+        }
+
     /** Finds holders. */
     public companion object {
         private val TABLES = listOf("/proc/net/tcp", "/proc/net/tcp6")
--- a/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
@@ -62,11 +62,17 @@
         is ListenWait.Bounded -> waitedMillis >= wait.maxMillis
         ListenWait.UntilFree -> {
             Termination.checkNotRequested()
-            waitedMillis >= MAX_WAIT_MILLIS && !(saysInUse(addressProblemOrNull(failure)) && isOfThisMachine(address))
+            waitedMillis >= MAX_WAIT_MILLIS && !(isInUse(address, failure) && isOfThisMachine(address))
         }
     }
 
-    /** Whether [failure] is for an address in use, and not for one that the process may not bind. */
+    /**
+     * Whether [failure] is for an address in use, and not for one that the process may not bind. The system may word its
+     * message in another language.
+     */
+    private fun isInUse(address: InetSocketAddress, failure: Exception): Boolean =
+        saysInUse(addressProblemOrNull(failure)) || AddressHolder.of(address).isSocket
+
     private fun saysInUse(failure: BindException?): Boolean = failure?.message.orEmpty().contains(IN_USE)
 
     /** Whether a socket can be bound to the IP of [address] at any port. */
--- a/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/program/ListenAddressTest.kt
@@ -32,6 +32,19 @@
                 server.stop()
             }
         }
+        // Guards against a process that ends by itself as its system says "in use" in another language.
+        describe("an address in use, with a message in another language") {
+            it("is waited for until it is free") {
+                occupiedAddress().use { occupied ->
+                    val address = InetSocketAddress("127.0.0.1", occupied.localPort)
+                    val freeMillis = MonotonicClock.nowMillis() + ListenAddress.MAX_WAIT_MILLIS + 1_000
+                    ListenAddress.bindWhenFree(address, ListenWait.UntilFree) {
+                        if (MonotonicClock.nowMillis() < freeMillis) throw BindException("L'adresse est utilisée")
+                        "bound"
+                    } shouldBe "bound"
+                }
+            }
+        }
         // Guards against a process that waits for ever for an address that it may not bind.
         describe("an address that the process may not bind") {
             it("is waited for no longer than a process needs to end, also by a wait without a limit") {
