--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
@@ -20,20 +20,26 @@
     val isWithinRequest: Boolean get() = hasBegunRequest || actualReadableBytes() > 0
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        val undecodedBytes = buffer.readableBytes()
+        val firstIndex = buffer.readerIndex()
         val decodedCount = out.size
         super.decode(context, buffer, out)
         if (out.size > decodedCount) {
             hasBegunRequest = out.last() !is LastHttpContent
-        } else if (buffer.readableBytes() < undecodedBytes) {
+        } else if (!isBlank(buffer, firstIndex)) {
             hasBegunRequest = true
         }
     }
 
+    /** Whether what was read of [buffer] since [firstIndex] is only what may stand before a request line. */
+    private fun isBlank(buffer: ByteBuf, firstIndex: Int): Boolean =
+        buffer.forEachByte(firstIndex, buffer.readerIndex() - firstIndex) { it in 0..SPACE } < 0
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("the request has both Content-Length and Transfer-Encoding")
 
     private companion object {
+        const val SPACE = ' '.code
+
         fun config(limits: CallerLimits): HttpDecoderConfig = HttpDecoderConfig()
             .setMaxInitialLineLength(limits.maxHeaderBytes)
             .setMaxHeaderSize(limits.maxHeaderBytes)
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/ChangedLimitsTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/ChangedLimitsTest.kt
@@ -54,6 +54,16 @@
                     caller.readResponse().shouldNotBeNull().status shouldBe 200
                 }
             }
+            // Guards against a connection that keeps old limits for good, as its caller ends bodies with empty lines.
+            it("apply to a connection whose caller sends empty lines between requests") {
+                withKeptConnection(SMALL) { gateway, caller ->
+                    caller.send(request(100) + "\r\n")
+                    caller.readResponse().shouldNotBeNull().status shouldBe 200
+                    gateway.limits = LARGE
+                    caller.send(request(2_000) + "\r\n")
+                    caller.readResponse().shouldNotBeNull().status shouldBe 200
+                }
+            }
             // A request got 400 if the lines that came with the request before it were decoded before the change.
             it("a head that had begun to come with the request before is understood") {
                 withKeptConnection(SMALL) { gateway, caller ->
