Mark a damaged data folder durably before its files are deleted

Callers of a cluster could lose acknowledged changes: a control instance with a damaged folder deleted its files and, if it was killed or lost its power before the new identity was written, came back under its old one, without the votes and entries it had given.

Cause: that the folder was given up was known only in memory, and the deletions were not made durable. Class: a decision is carried out before it is recorded.

The fix works because a durable file marks the folder before the first deletion and until the files of the new replica are durable; a marked folder is cleared again at the next start and never taken for unused.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterStore.kt
@@ -20,9 +20,8 @@
     fun open(settings: ClusterSettings): ReplicaStore {
         val startMillis = MonotonicClock.nowMillis()
         var loggedProblem: String? = null
-        var isCleared = false
         while (true) {
-            when (val opened = tryOpen(settings, mayInitialise = settings.isFirstStart && !isCleared)) {
+            when (val opened = tryOpen(settings)) {
                 is Outcome.Success -> {
                     if (loggedProblem != null) {
                         log.info("data_folder_usable") { field("waited_ms", MonotonicClock.nowMillis() - startMillis) }
@@ -34,7 +33,6 @@
                     if (problem.text != loggedProblem) logWait(settings, problem, startMillis)
                     loggedProblem = problem.text
                     // The next attempt gives the emptied folder to a new replica.
-                    isCleared = isCleared || problem.isCleared
                     if (!problem.isCleared) Thread.sleep(RETRY_MILLIS)
                 }
             }
@@ -52,8 +50,8 @@
             field("waited_ms", MonotonicClock.nowMillis() - startMillis)
         }
 
-    private fun tryOpen(settings: ClusterSettings, mayInitialise: Boolean): Outcome<ReplicaStore, Problem> = try {
-        if (mayInitialise) initialiseIfUnused(settings)
+    private fun tryOpen(settings: ClusterSettings): Outcome<ReplicaStore, Problem> = try {
+        if (settings.isFirstStart) initialiseIfUnused(settings)
         val newReplica = ReplicaId(settings.ip, SecureRandom().nextLong(FIRST_INCARNATION + 1, Long.MAX_VALUE))
         when (val opened = ReplicaStore.open(settings.dataFolder, settings.cluster.identity.clusterId, newReplica)) {
             is Outcome.Success -> opened
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -78,6 +78,7 @@
         private const val SNAPSHOT = "snapshot"
         private const val LOG = "log"
         private const val LOCK = "lock"
+        private const val CLEARED = "cleared"
         private const val MAX_WAIT_MILLIS = 5_000L
         private const val RETRY_MILLIS = 50L
         private val eventLog = EventLog.fromName("storage")
@@ -90,7 +91,7 @@
             voters: Set<ReplicaId>,
         ): Outcome<Unit, StorageProblem> {
             Files.createDirectories(folder)
-            if (Files.exists(folder.resolve(IDENTITY))) {
+            if (listOf(IDENTITY, CLEARED).any { Files.exists(folder.resolve(it)) }) {
                 return Outcome.Failure(StorageProblem.AlreadyInitialised(folder.toString()))
             }
             writeInitialFiles(folder, clusterId, self, Members(voters))
@@ -99,13 +100,24 @@
 
         /**
          * Returns whether no replica can have run with [folder]: it lacks the identity, which is written last, before
-         * the replica starts, and the log. Other files may be those of a start that was cut short.
+         * the replica starts, and the log, and wasn't cleared. Other files may be those of a start that was cut short.
          */
-        fun isUnused(folder: Path): Boolean = listOf(IDENTITY, LOG).none { Files.exists(folder.resolve(it)) }
+        fun isUnused(folder: Path): Boolean = listOf(IDENTITY, LOG, CLEARED).none { Files.exists(folder.resolve(it)) }
 
-        /** Deletes the files of a replica from [folder]; the log last, so that the folder isn't taken for unused before. */
+        /**
+         * Deletes the files of a replica from [folder], which the next [open] gives to a new replica.
+         *
+         * A durable file marks the folder before the first deletion and until the files of the new replica are durable.
+         * So what a kill or a loss of power leaves in between is never taken for the old replica or for a first start.
+         *
+         * @throws IOException if the folder can't be written
+         */
         fun clear(folder: Path) {
+            FileChannel.open(folder.resolve(CLEARED), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
+                .use { it.force(true) }
+            syncFolder(folder)
             listOf(IDENTITY, HARD_STATE, SNAPSHOT, LOG).forEach { Files.deleteIfExists(folder.resolve(it)) }
+            syncFolder(folder)
         }
 
         /**
@@ -164,11 +176,17 @@
             newReplica: ReplicaId,
             lock: FileLock,
         ): Outcome<ReplicaStore, StorageProblem> {
+            val wasCleared = Files.exists(folder.resolve(CLEARED))
+            if (wasCleared) clear(folder)
             if (!Files.exists(folder.resolve(IDENTITY))) {
                 val isEmpty = listOf(HARD_STATE, SNAPSHOT, LOG).none { Files.exists(folder.resolve(it)) }
                 if (!isEmpty) return Outcome.Failure(StorageProblem.Corrupt(folder.resolve(IDENTITY).toString(), 0))
                 writeInitialFiles(folder, clusterId, newReplica, Members(emptySet()))
             }
+            if (wasCleared) {
+                Files.delete(folder.resolve(CLEARED))
+                syncFolder(folder)
+            }
             return readIdentity(folder, clusterId).flatMap { identity -> recover(folder, lock, identity) }
         }
 
