Refuse a data folder whose log is missing although its replica has run

Cause: the log is absent when a replica starts for the first time, so it was optional at each start. Class: absence is taken for the initial state.

Evidence: PowerLossTest, log of a voter lost that had acknowledged entries: the old identity was back in 1,681 of 1,681 cases (-Dmarigoldward.power.losses=40), now in none.

The fix works because a replica creates its log before it writes another hard state, and that write makes the name of the log durable.

--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -217,7 +217,8 @@
             val snapshotFile = RecordFile(folder.resolve(SNAPSHOT), Snapshot.serializer())
             return readRequired(folder, HARD_STATE, hardStateFile).flatMap { hardState ->
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
-                    openLog(folder.resolve(LOG), snapshot.point.index).map { opened ->
+                    val isFirstOpening = hardState == HardState.INITIAL && snapshot.point.index == 0L
+                    openLog(folder.resolve(LOG), snapshot.point.index, mayBeMissing = isFirstOpening).map { opened ->
                         val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
                         ReplicaStore(folder, lock, identity.replica, opened.log, recovered)
                     }
@@ -225,9 +226,18 @@
             }
         }
 
-        /** Opens the log at [path], with the entries after the snapshot up to [snapshotIndex], none of which may lack. */
-        private fun openLog(path: Path, snapshotIndex: Long): Outcome<EntryLog.Opened, StorageProblem> =
-            EntryLog.open(path).flatMap { opened ->
+        /**
+         * Opens the log at [path], with the entries after the snapshot up to [snapshotIndex], none of which may lack.
+         *
+         * A replica creates its log before it records anything else, so the file [mayBeMissing] only until then.
+         */
+        private fun openLog(
+            path: Path,
+            snapshotIndex: Long,
+            mayBeMissing: Boolean,
+        ): Outcome<EntryLog.Opened, StorageProblem> {
+            if (!mayBeMissing && !Files.exists(path)) return Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
+            return EntryLog.open(path).flatMap { opened ->
                 val entries = opened.entries.filter { it.index > snapshotIndex }
                 val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == snapshotIndex + 1 + offset }
                 if (isGapless) {
@@ -237,6 +247,7 @@
                     Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
                 }
             }
+        }
 
         private fun <T : Any> readRequired(
             folder: Path,
--- a/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
@@ -86,7 +86,7 @@
         }
         // Guards against a voter that has lost a part of its files and votes under its old identity.
         describe("an instance whose files are lost one by one") {
-            listOf("identity", "hard-state", "snapshot").forEach { name ->
+            listOf("identity", "hard-state", "snapshot", "log").forEach { name ->
                 it("does not come back as the old replica without the $name") {
                     shouldHaveNone(casesOfOldIdentity { usedDisk().apply { lose(name) } })
                 }
