Make what a control instance finds at its start durable first

Callers of a cluster could lose acknowledged changes: an instance that was killed within a write, and started again, acted on entries and votes it found, and no longer had them after a loss of power.

Cause: a start synced the content of the log, and not the names of the files. An entry that is found is confirmed to a leader without a write. Class: what is read is taken for durable because what is acknowledged is.

Evidence: PowerLossTest kills a replica after each of 0 to 40 operations of a write, starts it again and lets the power fail in 41 ways (-Dmarigoldward.power.losses=40).

The fix works because the folder is synced when the log is opened, before the replica starts, and the content of all files is synced by then.

--- a/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
@@ -124,7 +124,11 @@
         /**
          * Opens the file at [path]. Incomplete writes at its end are cut off; damage to durable records is an error.
          *
+         * The entries and the names in the folder are durable when this returns: a process that was killed may have
+         * written them without a sync.
+         *
          * @param makeNamesDurable makes the names of the files in a folder durable
+         * @throws IOException if the file can't be read, or may not be durable
          */
         fun open(path: Path, makeNamesDurable: (Path) -> Unit = ::syncFolder): Outcome<Opened, StorageProblem> {
             val data = if (Files.exists(path)) ByteBuffer.wrap(Files.readAllBytes(path)) else ByteBuffer.allocate(0)
@@ -144,7 +148,9 @@
             channel.truncate(offset.toLong())
             channel.force(true)
             val tornBytes = data.limit() - offset.toLong()
-            return Outcome.Success(Opened(EntryLog(path, channel, makeNamesDurable), entries, tornBytes))
+            val log = EntryLog(path, channel, makeNamesDurable)
+            log.makeNameDurable()
+            return Outcome.Success(Opened(log, entries, tornBytes))
         }
 
         /**
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -217,6 +217,7 @@
             val snapshotFile = RecordFile(folder.resolve(SNAPSHOT), Snapshot.serializer())
             return readRequired(folder, HARD_STATE, hardStateFile).flatMap { hardState ->
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
+                    // Opening the log also makes the names of the files that were read durable.
                     val isFirstOpening = hardState == HardState.INITIAL && snapshot.point.index == 0L
                     openLog(folder.resolve(LOG), snapshot.point.index, mayBeMissing = isFirstOpening).map { opened ->
                         val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
--- a/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
@@ -71,11 +71,43 @@
     }
 }
 
+/**
+ * Kills a replica after each number of operations of a write, starts it again, and then lets the power fail. Returns the
+ * cases in which the replica no longer has what it had found when it was started.
+ */
+private fun casesOfLostFindings(write: (ReplicaStore) -> Unit): List<String> =
+    (0..MAX_OPERATIONS).flatMap { operations ->
+        (0..LOSSES).mapNotNull { loss ->
+            val disk = SimulatedDisk()
+            val store = open(disk, isFirstStart = true)
+            disk.maxOperations = disk.operations + operations
+            val isCut = runCatching { write(store) }.exceptionOrNull() is Cut
+            disk.maxOperations = Int.MAX_VALUE
+            val found = open(disk, isFirstStart = true).recovered
+            disk.losePower(Random(loss))
+            val left = open(disk, isFirstStart = true).recovered
+            "after $operations operations, loss $loss, cut $isCut: found $found, then $left".takeIf { left != found }
+        }
+    }
+
 /** Fails with the number of [cases] and the first of them, if there are any. */
 private fun shouldHaveNone(cases: List<String>) = withClue("${cases.size} cases") { cases.take(1).shouldBeEmpty() }
 
 class PowerLossTest :
     DescribeSpec({
+        // Guards against a voter that loses votes or entries which it has found on its disk and has acted on.
+        describe("an instance that is killed within a write, is started again and then loses its power") {
+            it("still has the entries that it found") {
+                val cases = casesOfLostFindings { store ->
+                    store.writeEntries(listOf(LogEntry(1, 0, EntryPayload.Noop)))
+                    store.sync()
+                }
+                shouldHaveNone(cases)
+            }
+            it("still has the vote that it found") {
+                shouldHaveNone(casesOfLostFindings { it.writeHardState(HardState(1, SELF)) })
+            }
+        }
         // Guards against a voter that votes again under its old identity after its damaged files were deleted in part.
         describe("an instance with damaged files that is killed or loses its power while it deletes them") {
             listOf("identity", "hard-state", "snapshot", "log").forEach { name ->
