--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -219,7 +219,7 @@
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
                     // Opening the log also makes the names of the files that were read durable.
                     val isFirstOpening = hardState == HardState.INITIAL && snapshot.point.index == 0L
-                    openLog(folder.resolve(LOG), snapshot.point.index, mayBeMissing = isFirstOpening).map { opened ->
+                    openLog(folder.resolve(LOG), snapshot.point, mayBeMissing = isFirstOpening).map { opened ->
                         val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
                         ReplicaStore(folder, lock, identity.replica, opened.log, recovered)
                     }
@@ -228,20 +228,24 @@
         }
 
         /**
-         * Opens the log at [path], with the entries after the snapshot up to [snapshotIndex], none of which may lack.
+         * Opens the log at [path], with the entries after the snapshot at [point], none of which may lack.
          *
-         * A replica creates its log before it records anything else, so the file [mayBeMissing] only until then.
+         * A replica creates its log before it records anything else, so the file [mayBeMissing] only until then. A log
+         * with entries that the snapshot covers is that of a snapshot that was cut short after it was written, and is cut
+         * now. If the last of these entries is another one than the snapshot's, so are those after it.
          */
         private fun openLog(
             path: Path,
-            snapshotIndex: Long,
+            point: SnapshotPoint,
             mayBeMissing: Boolean,
         ): Outcome<EntryLog.Opened, StorageProblem> {
             if (!mayBeMissing && !Files.exists(path)) return Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
             return EntryLog.open(path).flatMap { opened ->
-                val entries = opened.entries.filter { it.index > snapshotIndex }
-                val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == snapshotIndex + 1 + offset }
+                val isOther = opened.entries.any { it.index == point.index && it.term != point.term }
+                val entries = if (isOther) emptyList() else opened.entries.filter { it.index > point.index }
+                val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == point.index + 1 + offset }
                 if (isGapless) {
+                    if (entries.size < opened.entries.size) opened.log.rewrite(entries)
                     Outcome.Success(opened.copy(entries = entries))
                 } else {
                     opened.log.close()
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -1,6 +1,7 @@
 package marigoldward.control.storage
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -229,6 +230,19 @@
                 }
                 open(folder).use { it.recovered.entries shouldBe entries(8L..8L) + LogEntry(9, 2, EntryPayload.Noop) }
             }
+            // Guards against entries of another leader behind a snapshot, with which a replica votes by a wrong last entry.
+            it("drops entries of another term than the snapshot's, if an install was cut short after the snapshot") {
+                val folder = writeEntries(initialisedFolder(), 1L..9L)
+                val snapshot = Snapshot(SnapshotPoint(7, 2, Members(setOf(SELF))), ControlState.EMPTY)
+                RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                val newEntry = LogEntry(8, 2, EntryPayload.Noop)
+                open(folder).use { store ->
+                    store.recovered.entries.shouldBeEmpty()
+                    store.writeEntries(listOf(newEntry))
+                    store.sync()
+                }
+                open(folder).use { it.recovered.entries shouldBe listOf(newEntry) }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
