Never write a record into a file that another name leads to

Callers of a cluster could lose acknowledged changes: an instance took its folder for damaged after two losses of power and became a new replica, as if it had lost its disk, beside the loss that the deployment tolerates.

Cause: after a loss of power a record and its temporary name may lead to one file, as the rename and the removal are kept or lost independently. The next write truncated the temporary file and with it the record. Class: a name that is left over is taken for a file of one's own.

In ReplicaStoreTest, with real files, the earlier record was overwritten.

The fix works because the temporary name is deleted and the file created anew, so the file of the record is never opened for writing.

ClusterStoreTest stands for a disk that refuses a write by a folder in place of the temporary file. The folder has a file in it now, as an empty one could be deleted, which would have let the tests pass without a refusal; the refusals are the same as before.

--- a/control/src/main/kotlin/marigoldward/control/storage/RecordFile.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/RecordFile.kt
@@ -30,7 +30,9 @@
      */
     fun write(value: T) {
         val temporary = path.resolveSibling("${path.fileName}.new")
-        val options = setOf(StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)
+        // A loss of power may leave the temporary name beside the one that it was renamed to, both of one file.
+        Files.deleteIfExists(temporary)
+        val options = setOf(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)
         FileChannel.open(temporary, options).use { channel ->
             channel.writeFully(frame(ProtoBuf.encodeToByteArray(serializer, value)))
             channel.force(true)
--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterStoreTest.kt
@@ -52,6 +52,14 @@
 
 private fun initialisedFolder(): Path = newFolder().also { ReplicaStore.initialise(it, CLUSTER, SELF, FIRST_VOTERS) }
 
+/** Creates a folder at [path] that can be neither opened as a file nor deleted, as it isn't empty. */
+private fun createObstacle(path: Path): Path = Files.createDirectory(path).also { Files.createFile(it.resolve("file")) }
+
+private fun deleteObstacle(path: Path) {
+    Files.delete(path.resolve("file"))
+    Files.delete(path)
+}
+
 /** Returns the folders that a first start may leave if it is cut short while it writes the files in order. */
 private fun foldersOfCutStarts(): Map<String, Path> = FILES.indices.flatMap { written ->
     val kept = FILES.take(written)
@@ -78,10 +86,10 @@
             FILES.forEach { name ->
                 it("makes it a first voter after its disk has refused to write the $name") {
                     val folder = newFolder()
-                    val obstacle = Files.createDirectory(folder.resolve("$name.new"))
+                    val obstacle = createObstacle(folder.resolve("$name.new"))
                     val remover = thread {
                         Thread.sleep(700)
-                        Files.delete(obstacle)
+                        deleteObstacle(obstacle)
                     }
                     opened(folder, isFirstStart = true) shouldBe (SELF to FIRST_VOTERS)
                     remover.join()
@@ -121,10 +129,10 @@
             (FILES.map { "$it.new" } + "log").forEach { name ->
                 it("ends when the disk takes the $name") {
                     val folder = newFolder()
-                    val obstacle = Files.createDirectory(folder.resolve(name))
+                    val obstacle = createObstacle(folder.resolve(name))
                     val remover = thread {
                         Thread.sleep(700)
-                        Files.delete(obstacle)
+                        deleteObstacle(obstacle)
                     }
                     opened(folder, isFirstStart = false).second.shouldBeEmpty()
                     remover.join()
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -114,6 +114,19 @@
                     .shouldBeInstanceOf<StorageProblem.OtherCluster>()
             }
         }
+        // Guards against a record that is gone because a loss of power left two names of its file.
+        describe("a record whose temporary name still leads to its file") {
+            it("stays whole while it is replaced") {
+                val path = newFolder().resolve("hard-state")
+                val file = RecordFile(path, HardState.serializer())
+                file.write(HardState(1, SELF))
+                Files.createLink(path.resolveSibling("hard-state.new"), path)
+                val earlier = Files.createLink(path.resolveSibling("earlier"), path)
+                file.write(HardState(2, SELF))
+                RecordFile(earlier, HardState.serializer()).read().getOrNull() shouldBe HardState(1, SELF)
+                file.read().getOrNull() shouldBe HardState(2, SELF)
+            }
+        }
         // A control instance that was started before its predecessor had ended, ended with exit code 2.
         describe("a data folder that another process has open") {
             it("is opened when it is free") {
--- a/control/src/test/kotlin/marigoldward/control/storage/SimulatedDisk.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/SimulatedDisk.kt
@@ -86,7 +86,8 @@
 
     override fun newFileChannel(path: Path, options: Set<OpenOption>, vararg attrs: FileAttribute<*>): FileChannel {
         val name = nameOf(path) ?: return SimulatedChannel(this, SimulatedFile(), isFolder = true)
-        val file = names[name] ?: if (StandardOpenOption.CREATE in options) {
+        val isCreated = StandardOpenOption.CREATE in options || StandardOpenOption.CREATE_NEW in options
+        val file = names[name] ?: if (isCreated) {
             SimulatedFile().also { operate { names[name] = it } }
         } else {
             throw NoSuchFileException(name)
