Sync the data folder before a start goes by the names in it

A control instance of a new cluster became a replica that nobody knew instead of a first voter, if its first start was killed and the next one ended by a loss of power. With two of three such voters, no change was confirmed after the next loss.

Cause: the second start found an identity that was renamed into place and not synced, and created its log beside it. The power took the identity and left the log, which is a damaged folder.

The fix works because nothing is written beside a name before that name is durable.

--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -176,6 +176,8 @@
             newReplica: ReplicaId,
             lock: FileLock,
         ): Outcome<ReplicaStore, StorageProblem> {
+            // A process that was killed may have left names without a sync; nothing may follow from them before it.
+            syncFolder(folder)
             val wasCleared = Files.exists(folder.resolve(CLEARED))
             if (wasCleared) clear(folder)
             if (!Files.exists(folder.resolve(IDENTITY))) {
@@ -217,7 +219,6 @@
             val snapshotFile = RecordFile(folder.resolve(SNAPSHOT), Snapshot.serializer())
             return readRequired(folder, HARD_STATE, hardStateFile).flatMap { hardState ->
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
-                    // Opening the log also makes the names of the files that were read durable.
                     val isFirstOpening = hardState == HardState.INITIAL && snapshot.point.index == 0L
                     openLog(folder.resolve(LOG), snapshot.point, mayBeMissing = isFirstOpening).map { opened ->
                         val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
@@ -230,7 +231,7 @@
         /**
          * Opens the log at [path], with the entries after the snapshot at [point], none of which may lack.
          *
-         * A replica creates its log before it records anything else, so the file [mayBeMissing] only until then. A log
+         * A replica's log is durable before it records anything else, so the file [mayBeMissing] only until then. A log
          * with entries that the snapshot covers is that of a snapshot that was cut short after it was written, and is cut
          * now. If the last of these entries is another one than the snapshot's, so are those after it.
          */
--- a/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/PowerLossTest.kt
@@ -233,6 +233,26 @@
 /** Fails with the number of [cases] and the first of them, if there are any. */
 private fun shouldHaveNone(cases: List<String>) = withClue("${cases.size} cases") { cases.take(1).shouldBeEmpty() }
 
+/**
+ * Ends the first start after each number of operations by a kill and the second one, after each number, by a loss of
+ * power. Returns the cases in which a third start doesn't make the instance a first voter.
+ */
+private fun casesOfNoFirstVoter(): List<String> = (0..MAX_OPERATIONS).flatMap { first ->
+    (0..MAX_OPERATIONS).flatMap { second ->
+        (1..LOSSES).mapNotNull { loss ->
+            val disk = SimulatedDisk()
+            listOf(first, second).forEach { operations ->
+                disk.maxOperations = disk.operations + operations
+                runCatching { open(disk, isFirstStart = true) }
+            }
+            disk.maxOperations = Int.MAX_VALUE
+            disk.losePower(Random(loss))
+            val replica = open(disk, isFirstStart = true).replica
+            "after $first, then $second operations, loss $loss: $replica".takeIf { replica != SELF }
+        }
+    }
+}
+
 class PowerLossTest :
     DescribeSpec({
         // Guards against a voter that comes back without what it has acknowledged, or takes its files for damaged.
@@ -246,6 +266,12 @@
                 )
             }
         }
+        // Guards against a first voter that never votes, because a second start went by names that were not durable.
+        describe("an instance whose first start is killed, and the second one ended by a loss of power") {
+            it("becomes a first voter by the third one") {
+                shouldHaveNone(casesOfNoFirstVoter())
+            }
+        }
         // Guards against a voter that loses votes or entries which it has found on its disk and has acted on.
         describe("an instance that is killed within a write, is started again and then loses its power") {
             it("still has the entries that it found") {
