--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -233,7 +233,12 @@
          *
          * A replica's log is durable before it records anything else, so the file [mayBeMissing] only until then. A log
          * with entries that the snapshot covers is that of a snapshot that was cut short after it was written, and is cut
-         * now. If the last of these entries is another one than the snapshot's, so are those after it.
+         * now.
+         *
+         * The entries after the snapshot are either those of the log that the snapshot replaced or were written after it.
+         * The first one decides, as the later ones were added behind it: terms never decrease along a log, so it can't
+         * follow the snapshot if its term is older. Entries that the log of the snapshot's leader lacks may be kept if
+         * their term is not older. They were never committed, and lose elections and are replaced as before the snapshot.
          */
         private fun openLog(
             path: Path,
@@ -242,8 +247,9 @@
         ): Outcome<EntryLog.Opened, StorageProblem> {
             if (!mayBeMissing && !Files.exists(path)) return Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
             return EntryLog.open(path).flatMap { opened ->
-                val isOther = opened.entries.any { it.index == point.index && it.term != point.term }
-                val entries = if (isOther) emptyList() else opened.entries.filter { it.index > point.index }
+                val later = opened.entries.filter { it.index > point.index }
+                val areReplaced = later.isNotEmpty() && later.first().term < point.term
+                val entries = if (areReplaced) emptyList() else later
                 val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == point.index + 1 + offset }
                 if (isGapless) {
                     if (entries.size < opened.entries.size) opened.log.rewrite(entries)
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -256,6 +256,23 @@
                 }
                 open(folder).use { it.recovered.entries shouldBe listOf(newEntry) }
             }
+            // Guards against an upgrade that drops entries acknowledged after a snapshot that replaced others.
+            it("keeps entries of the snapshot's leader behind one of another term") {
+                val folder = writeEntries(initialisedFolder(), 1L..9L)
+                val newEntries = listOf(LogEntry(8, 2, EntryPayload.Noop), LogEntry(9, 3, EntryPayload.Noop))
+                open(folder).use { store ->
+                    store.writeEntries(newEntries)
+                    store.sync()
+                }
+                val snapshot = Snapshot(SnapshotPoint(7, 2, Members(setOf(SELF))), ControlState.EMPTY)
+                RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                repeat(2) {
+                    open(folder).use { store ->
+                        store.replica shouldBe SELF
+                        store.recovered.entries shouldBe newEntries
+                    }
+                }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
