--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -231,9 +231,9 @@
         /**
          * Opens the log at [path], with the entries after the snapshot at [point], none of which may lack.
          *
-         * A replica's log is durable before it records anything else, so the file [mayBeMissing] only until then. A log
-         * with entries that the snapshot covers is that of a snapshot that was cut short after it was written, and is cut
-         * now.
+         * A replica's log is durable before it records anything else, so the file [mayBeMissing] only until then.
+         * Entries that are dropped stay in the file, since a start must not need space on the disk: the next ones replace
+         * those after the snapshot, and the next snapshot those that it covers.
          *
          * The entries after the snapshot are either those of the log that the snapshot replaced or were written after it.
          * The first one decides, as the later ones were added behind it: terms never decrease along a log, so it can't
@@ -252,7 +252,6 @@
                 val entries = if (areReplaced) emptyList() else later
                 val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == point.index + 1 + offset }
                 if (isGapless) {
-                    if (entries.size < opened.entries.size) opened.log.rewrite(entries)
                     Outcome.Success(opened.copy(entries = entries))
                 } else {
                     opened.log.close()
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -273,6 +273,24 @@
                     }
                 }
             }
+            // Guards against a replica that stays away while its disk is full, after a snapshot that the full disk cut short.
+            listOf(1L, 2L).forEach { term ->
+                it("needs no new file at a start if a snapshot of term $term was cut short after it was written") {
+                    val folder = writeEntries(initialisedFolder(), 1L..9L)
+                    val snapshot = Snapshot(SnapshotPoint(7, term, Members(setOf(SELF))), ControlState.EMPTY)
+                    RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                    // No file can take the place of a folder that isn't empty.
+                    Files.createDirectories(folder.resolve("log.new").resolve("full"))
+                    val found = if (term == 1L) entries(8L..9L) else emptyList()
+                    val newEntry = LogEntry(8L + found.size, 2, EntryPayload.Noop)
+                    open(folder).use { store ->
+                        store.recovered.entries shouldBe found
+                        store.writeEntries(listOf(newEntry))
+                        store.sync()
+                    }
+                    open(folder).use { it.recovered.entries shouldBe found + newEntry }
+                }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
