Close the files of an attempt to open the data folder that fails

What callers saw: nothing shown; a review of the data folder found it. A control instance that waits for its disk tries every 500 ms and could run out of descriptors, so that it can't start when the disk works again.

Cause: EntryLog.open didn't close the log's channel if the truncation, the sync or the sync of the folder threw, nor did ReplicaStore close the lock file's if taking the lock threw an IOException.

Evidence: SimulatedDisk now counts open channels. After three attempts EntryLogTest "leaves no file open" and ReplicaStoreTest "leaves no file open if it can not be locked" found 3 instead of 0, each. Both pass with the fix, with the other tests of these classes and ClusterStoreTest.

Why the fix works: both places close their channel before they pass the exception on; the other openings already did.

--- a/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/EntryLog.kt
@@ -145,12 +145,17 @@
                 return Outcome.Failure(StorageProblem.Corrupt(path.toString(), offset.toLong()))
             }
             val channel = openChannel(path)
-            channel.truncate(offset.toLong())
-            channel.force(true)
-            val tornBytes = data.limit() - offset.toLong()
-            val log = EntryLog(path, channel, makeNamesDurable)
-            log.makeNameDurable()
-            return Outcome.Success(Opened(log, entries, tornBytes))
+            try {
+                channel.truncate(offset.toLong())
+                channel.force(true)
+                val tornBytes = data.limit() - offset.toLong()
+                val log = EntryLog(path, channel, makeNamesDurable)
+                log.makeNameDurable()
+                return Outcome.Success(Opened(log, entries, tornBytes))
+            } catch (failure: IOException) {
+                channel.close()
+                throw failure
+            }
         }
 
         /**
--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -280,6 +280,9 @@
                     channel.tryLock()
                 } catch (_: OverlappingFileLockException) {
                     null
+                } catch (failure: IOException) {
+                    channel.close()
+                    throw failure
                 }
             if (lock == null) channel.close()
             return lock
--- a/control/src/test/kotlin/marigoldward/control/storage/EntryLogTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/EntryLogTest.kt
@@ -29,6 +29,18 @@
 
 class EntryLogTest :
     DescribeSpec({
+        describe("a log that can not be made durable when it is opened") {
+            // Guards against an instance that runs out of descriptors while it waits for its disk.
+            it("leaves no file open") {
+                val disk = SimulatedDisk()
+                repeat(3) {
+                    shouldThrow<IOException> {
+                        EntryLog.open(disk.folder.resolve("log")) { throw IOException("input/output error") }
+                    }
+                }
+                disk.openChannels shouldBe 0
+            }
+        }
         describe("a log whose folder could not be synced when the log was rewritten") {
             // Guards against acknowledged entries that go to the file that was replaced.
             it("keeps what is synced later") {
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -1,5 +1,6 @@
 package marigoldward.control.storage
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
@@ -23,6 +24,7 @@
 import marigoldward.core.replication.ReplicaId
 import marigoldward.core.replication.Snapshot
 import marigoldward.core.replication.SnapshotPoint
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -50,6 +52,12 @@
 class ReplicaStoreTest :
     DescribeSpec({
         describe("a data folder") {
+            // Guards against an instance that runs out of descriptors while it waits for its disk.
+            it("leaves no file open if it can not be locked") {
+                val disk = SimulatedDisk().apply { refusesLocks = true }
+                repeat(3) { shouldThrow<IOException> { ReplicaStore.open(disk.folder, "cluster", NEW_REPLICA) } }
+                disk.openChannels shouldBe 0
+            }
             it("keeps what was synced") {
                 val folder = writeEntries(initialisedFolder(), 1L..3L)
                 open(folder).use { store ->
--- a/control/src/test/kotlin/marigoldward/control/storage/SimulatedDisk.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/SimulatedDisk.kt
@@ -48,6 +48,13 @@
     var operations: Int = 0
         private set
 
+    /** The number of channels that were opened and not closed. */
+    var openChannels: Int = 0
+        internal set
+
+    /** Whether the disk refuses locks. */
+    var refusesLocks: Boolean = false
+
     /** The number of operations after which the process ends. */
     var maxOperations: Int = Int.MAX_VALUE
 
@@ -244,6 +251,10 @@
 ) : FileChannel() {
     private var position = 0
 
+    init {
+        disk.openChannels++
+    }
+
     override fun read(dst: ByteBuffer): Int {
         val size = minOf(dst.remaining(), file.content.size - position)
         if (size <= 0) return if (dst.hasRemaining()) -1 else 0
@@ -272,16 +283,20 @@
 
     override fun force(metaData: Boolean) = if (isFolder) disk.syncNames() else disk.operate { file.sync() }
 
-    override fun tryLock(position: Long, size: Long, shared: Boolean): FileLock =
-        object : FileLock(this, position, size, shared) {
+    override fun tryLock(position: Long, size: Long, shared: Boolean): FileLock {
+        if (disk.refusesLocks) throw IOException("no locks available")
+        return object : FileLock(this, position, size, shared) {
             override fun isValid(): Boolean = true
 
             override fun release() = Unit
         }
+    }
 
     override fun lock(position: Long, size: Long, shared: Boolean): FileLock = tryLock(position, size, shared)
 
-    override fun implCloseChannel() = Unit
+    override fun implCloseChannel() {
+        disk.openChannels--
+    }
 
     override fun read(dsts: Array<out ByteBuffer>, offset: Int, length: Int): Long = unsupported()
 
