--- a/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/storage/ReplicaStore.kt
@@ -78,6 +78,7 @@
         private const val SNAPSHOT = "snapshot"
         private const val LOG = "log"
         private const val LOCK = "lock"
+        private const val CLEARED = "cleared"
         private const val MAX_WAIT_MILLIS = 5_000L
         private const val RETRY_MILLIS = 50L
         private val eventLog = EventLog.fromName("storage")
@@ -90,7 +91,7 @@
             voters: Set<ReplicaId>,
         ): Outcome<Unit, StorageProblem> {
             Files.createDirectories(folder)
-            if (Files.exists(folder.resolve(IDENTITY))) {
+            if (listOf(IDENTITY, CLEARED).any { Files.exists(folder.resolve(it)) }) {
                 return Outcome.Failure(StorageProblem.AlreadyInitialised(folder.toString()))
             }
             writeInitialFiles(folder, clusterId, self, Members(voters))
@@ -99,13 +100,24 @@
 
         /**
          * Returns whether no replica can have run with [folder]: it lacks the identity, which is written last, before
-         * the replica starts, and the log. Other files may be those of a start that was cut short.
+         * the replica starts, and the log, and wasn't cleared. Other files may be those of a start that was cut short.
          */
-        fun isUnused(folder: Path): Boolean = listOf(IDENTITY, LOG).none { Files.exists(folder.resolve(it)) }
+        fun isUnused(folder: Path): Boolean = listOf(IDENTITY, LOG, CLEARED).none { Files.exists(folder.resolve(it)) }
 
-        /** Deletes the files of a replica from [folder]; the log last, so that the folder isn't taken for unused before. */
+        /**
+         * Deletes the files of a replica from [folder], which the next [open] gives to a new replica.
+         *
+         * A durable file marks the folder before the first deletion and until the files of the new replica are durable.
+         * So what a kill or a loss of power leaves in between is never taken for the old replica or for a first start.
+         *
+         * @throws IOException if the folder can't be written
+         */
         fun clear(folder: Path) {
+            FileChannel.open(folder.resolve(CLEARED), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
+                .use { it.force(true) }
+            syncFolder(folder)
             listOf(IDENTITY, HARD_STATE, SNAPSHOT, LOG).forEach { Files.deleteIfExists(folder.resolve(it)) }
+            syncFolder(folder)
         }
 
         /**
@@ -164,11 +176,19 @@
             newReplica: ReplicaId,
             lock: FileLock,
         ): Outcome<ReplicaStore, StorageProblem> {
+            // A process that was killed may have left names without a sync; nothing may follow from them before it.
+            syncFolder(folder)
+            val wasCleared = Files.exists(folder.resolve(CLEARED))
+            if (wasCleared) clear(folder)
             if (!Files.exists(folder.resolve(IDENTITY))) {
                 val isEmpty = listOf(HARD_STATE, SNAPSHOT, LOG).none { Files.exists(folder.resolve(it)) }
                 if (!isEmpty) return Outcome.Failure(StorageProblem.Corrupt(folder.resolve(IDENTITY).toString(), 0))
                 writeInitialFiles(folder, clusterId, newReplica, Members(emptySet()))
             }
+            if (wasCleared) {
+                Files.delete(folder.resolve(CLEARED))
+                syncFolder(folder)
+            }
             return readIdentity(folder, clusterId).flatMap { identity -> recover(folder, lock, identity) }
         }
 
@@ -199,7 +219,8 @@
             val snapshotFile = RecordFile(folder.resolve(SNAPSHOT), Snapshot.serializer())
             return readRequired(folder, HARD_STATE, hardStateFile).flatMap { hardState ->
                 readRequired(folder, SNAPSHOT, snapshotFile).flatMap { snapshot ->
-                    openLog(folder.resolve(LOG), snapshot.point.index).map { opened ->
+                    val isFirstOpening = hardState == HardState.INITIAL && snapshot.point.index == 0L
+                    openLog(folder.resolve(LOG), snapshot.point, mayBeMissing = isFirstOpening).map { opened ->
                         val recovered = ReplicaStorage.Recovered(hardState, snapshot, opened.entries, opened.tornBytes)
                         ReplicaStore(folder, lock, identity.replica, opened.log, recovered)
                     }
@@ -207,11 +228,29 @@
             }
         }
 
-        /** Opens the log at [path], with the entries after the snapshot up to [snapshotIndex], none of which may lack. */
-        private fun openLog(path: Path, snapshotIndex: Long): Outcome<EntryLog.Opened, StorageProblem> =
-            EntryLog.open(path).flatMap { opened ->
-                val entries = opened.entries.filter { it.index > snapshotIndex }
-                val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == snapshotIndex + 1 + offset }
+        /**
+         * Opens the log at [path], with the entries after the snapshot at [point], none of which may lack.
+         *
+         * A replica's log is durable before it records anything else, so the file [mayBeMissing] only until then.
+         * Entries that are dropped stay in the file, since a start must not need space on the disk: the next ones replace
+         * those after the snapshot, and the next snapshot those that it covers.
+         *
+         * The entries after the snapshot are either those of the log that the snapshot replaced or were written after it.
+         * The first one decides, as the later ones were added behind it: terms never decrease along a log, so it can't
+         * follow the snapshot if its term is older. Entries that the log of the snapshot's leader lacks may be kept if
+         * their term is not older. They were never committed, and lose elections and are replaced as before the snapshot.
+         */
+        private fun openLog(
+            path: Path,
+            point: SnapshotPoint,
+            mayBeMissing: Boolean,
+        ): Outcome<EntryLog.Opened, StorageProblem> {
+            if (!mayBeMissing && !Files.exists(path)) return Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
+            return EntryLog.open(path).flatMap { opened ->
+                val later = opened.entries.filter { it.index > point.index }
+                val areReplaced = later.isNotEmpty() && later.first().term < point.term
+                val entries = if (areReplaced) emptyList() else later
+                val isGapless = entries.withIndex().all { (offset, entry) -> entry.index == point.index + 1 + offset }
                 if (isGapless) {
                     Outcome.Success(opened.copy(entries = entries))
                 } else {
@@ -219,6 +258,7 @@
                     Outcome.Failure(StorageProblem.Corrupt(path.toString(), 0))
                 }
             }
+        }
 
         private fun <T : Any> readRequired(
             folder: Path,
@@ -240,6 +280,9 @@
                     channel.tryLock()
                 } catch (_: OverlappingFileLockException) {
                     null
+                } catch (failure: IOException) {
+                    channel.close()
+                    throw failure
                 }
             if (lock == null) channel.close()
             return lock
--- a/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/storage/ReplicaStoreTest.kt
@@ -1,6 +1,8 @@
 package marigoldward.control.storage
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -22,6 +24,7 @@
 import marigoldward.core.replication.ReplicaId
 import marigoldward.core.replication.Snapshot
 import marigoldward.core.replication.SnapshotPoint
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -49,6 +52,12 @@
 class ReplicaStoreTest :
     DescribeSpec({
         describe("a data folder") {
+            // Guards against an instance that runs out of descriptors while it waits for its disk.
+            it("leaves no file open if it can not be locked") {
+                val disk = SimulatedDisk().apply { refusesLocks = true }
+                repeat(3) { shouldThrow<IOException> { ReplicaStore.open(disk.folder, "cluster", NEW_REPLICA) } }
+                disk.openChannels shouldBe 0
+            }
             it("keeps what was synced") {
                 val folder = writeEntries(initialisedFolder(), 1L..3L)
                 open(folder).use { store ->
@@ -113,6 +122,19 @@
                     .shouldBeInstanceOf<StorageProblem.OtherCluster>()
             }
         }
+        // Guards against a record that is gone because a loss of power left two names of its file.
+        describe("a record whose temporary name still leads to its file") {
+            it("stays whole while it is replaced") {
+                val path = newFolder().resolve("hard-state")
+                val file = RecordFile(path, HardState.serializer())
+                file.write(HardState(1, SELF))
+                Files.createLink(path.resolveSibling("hard-state.new"), path)
+                val earlier = Files.createLink(path.resolveSibling("earlier"), path)
+                file.write(HardState(2, SELF))
+                RecordFile(earlier, HardState.serializer()).read().getOrNull() shouldBe HardState(1, SELF)
+                file.read().getOrNull() shouldBe HardState(2, SELF)
+            }
+        }
         // A control instance that was started before its predecessor had ended, ended with exit code 2.
         describe("a data folder that another process has open") {
             it("is opened when it is free") {
@@ -229,6 +251,54 @@
                 }
                 open(folder).use { it.recovered.entries shouldBe entries(8L..8L) + LogEntry(9, 2, EntryPayload.Noop) }
             }
+            // Guards against entries of another leader behind a snapshot, with which a replica votes by a wrong last entry.
+            it("drops entries of another term than the snapshot's, if an install was cut short after the snapshot") {
+                val folder = writeEntries(initialisedFolder(), 1L..9L)
+                val snapshot = Snapshot(SnapshotPoint(7, 2, Members(setOf(SELF))), ControlState.EMPTY)
+                RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                val newEntry = LogEntry(8, 2, EntryPayload.Noop)
+                open(folder).use { store ->
+                    store.recovered.entries.shouldBeEmpty()
+                    store.writeEntries(listOf(newEntry))
+                    store.sync()
+                }
+                open(folder).use { it.recovered.entries shouldBe listOf(newEntry) }
+            }
+            // Guards against an upgrade that drops entries acknowledged after a snapshot that replaced others.
+            it("keeps entries of the snapshot's leader behind one of another term") {
+                val folder = writeEntries(initialisedFolder(), 1L..9L)
+                val newEntries = listOf(LogEntry(8, 2, EntryPayload.Noop), LogEntry(9, 3, EntryPayload.Noop))
+                open(folder).use { store ->
+                    store.writeEntries(newEntries)
+                    store.sync()
+                }
+                val snapshot = Snapshot(SnapshotPoint(7, 2, Members(setOf(SELF))), ControlState.EMPTY)
+                RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                repeat(2) {
+                    open(folder).use { store ->
+                        store.replica shouldBe SELF
+                        store.recovered.entries shouldBe newEntries
+                    }
+                }
+            }
+            // Guards against a replica that stays away while its disk is full, after a snapshot that the full disk cut short.
+            listOf(1L, 2L).forEach { term ->
+                it("needs no new file at a start if a snapshot of term $term was cut short after it was written") {
+                    val folder = writeEntries(initialisedFolder(), 1L..9L)
+                    val snapshot = Snapshot(SnapshotPoint(7, term, Members(setOf(SELF))), ControlState.EMPTY)
+                    RecordFile(folder.resolve("snapshot"), Snapshot.serializer()).write(snapshot)
+                    // No file can take the place of a folder that isn't empty.
+                    Files.createDirectories(folder.resolve("log.new").resolve("full"))
+                    val found = if (term == 1L) entries(8L..9L) else emptyList()
+                    val newEntry = LogEntry(8L + found.size, 2, EntryPayload.Noop)
+                    open(folder).use { store ->
+                        store.recovered.entries shouldBe found
+                        store.writeEntries(listOf(newEntry))
+                        store.sync()
+                    }
+                    open(folder).use { it.recovered.entries shouldBe found + newEntry }
+                }
+            }
             it("keeps only entries after the snapshot") {
                 val folder = writeEntries(initialisedFolder(), 1L..9L)
                 open(folder).use { store ->
