Say why a late first update counts as old as its stream

The KDoc of UpdateDelays said "as if this process was frozen meanwhile"; the process may have been frozen, which is the reason. Wording only.

--- a/gateway/src/main/kotlin/marigoldward/gateway/control/UpdateDelays.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/UpdateDelays.kt
@@ -8,8 +8,8 @@
  *
  * The delay of an update is how much later it came than the fastest recent one of the same instance, as [RemoteClocks]
  * defines it, and at most the time since its stream was opened. The first update of an instance has nothing to be
- * compared with. It counts as sent when its stream was opened if that was [MAX_FIRST_ANSWER_MILLIS] before or longer, as
- * if this process was frozen meanwhile, and otherwise as sent when it came.
+ * compared with. It counts as sent when its stream was opened if that was [MAX_FIRST_ANSWER_MILLIS] before or longer,
+ * because this process may have been frozen meanwhile, and otherwise as sent when it came.
  *
  * Has no clock of its own and is not thread-safe.
  */
