Date updates that waited behind a late first one by the stream's opening

Callers: an entry that was frozen just after it opened a stream to an instance whose clock it didn't know took the updates of that time for fresh, except the first, and followed the instance although that was frozen as well. Found by reading.

Cause: the late first update counted as old as its stream, but its difference of clocks was recorded as if it had come at once. Each update that waited behind it was sent later and came at the same moment, so it was the fastest and had no delay.

Evidence: the new case of UpdateDelaysTest, three updates sent at 50, 450 and 850 ms and received at 4,000 ms: the second had a delay of 0 ms, bound 3,600.

Why it works: the late first update is recorded as sent when the stream was opened, so the later ones are dated by that time plus what the sender's clock advanced. The next update that comes at once is late by the time of the first answer only (50 ms in the test), so a sender that is not frozen is fresh again without a new stream. UpdateDelaysTest, RoutesInForceTest and FeedSourceTest pass.

--- a/gateway/src/main/kotlin/marigoldward/gateway/control/UpdateDelays.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/UpdateDelays.kt
@@ -9,7 +9,8 @@
  * The delay of an update is how much later it came than the fastest recent one of the same instance, as [RemoteClocks]
  * defines it, and at most the time since its stream was opened. The first update of an instance has nothing to be
  * compared with. It counts as sent when its stream was opened if that was [MAX_FIRST_ANSWER_MILLIS] before or longer,
- * because this process may have been frozen meanwhile, and otherwise as sent when it came.
+ * because this process may have been frozen meanwhile, and otherwise as sent when it came. Later updates are compared
+ * with this time.
  *
  * Has no clock of its own and is not thread-safe.
  */
@@ -23,9 +24,10 @@
     fun delayMillis(sentAt: SendingTime?, streamOpenedMillis: Long, receivedMillis: Long): Long {
         if (sentAt == null) return 0
         val openMillis = receivedMillis - streamOpenedMillis
-        val isFirst = !clocks.isKnown(sentAt.clockId)
+        val isLateFirst = openMillis >= MAX_FIRST_ANSWER_MILLIS && !clocks.isKnown(sentAt.clockId)
+        if (isLateFirst) clocks.toLocalMillis(sentAt.clockId, sentAt.millis, streamOpenedMillis)
         val delayMillis = receivedMillis - clocks.toLocalMillis(sentAt.clockId, sentAt.millis, receivedMillis)
-        return if (isFirst && openMillis >= MAX_FIRST_ANSWER_MILLIS) openMillis else minOf(delayMillis, openMillis)
+        return minOf(delayMillis, openMillis)
     }
 
     companion object {
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/UpdateDelaysTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/UpdateDelaysTest.kt
@@ -40,6 +40,14 @@
                 TimedUpdates(streamOpenedMillis = 0).delayMillis(sent = 10, received = 4_000) shouldBe 4_000
                 TimedUpdates(streamOpenedMillis = 0).delayMillis(sent = 10, received = 999) shouldBe 0
             }
+            // Guards against an entry that follows a frozen instance because its updates waited behind a late first one.
+            it("grows with the age of each update that waited behind a late first one") {
+                val updates = TimedUpdates(streamOpenedMillis = 0)
+                updates.delayMillis(sent = 50, received = 4_000) shouldBe 4_000
+                updates.delayMillis(sent = 450, received = 4_000) shouldBe 3_600
+                updates.delayMillis(sent = 850, received = 4_000) shouldBe 3_200
+                updates.delayMillis(sent = 4_050, received = 4_050) shouldBe 50
+            }
             // Guards against an entry without fresh state for ten seconds after a machine of control was suspended.
             it("is at most the time since the stream was opened, as after the sender's clock stood still") {
                 val updates = TimedUpdates(streamOpenedMillis = 0)
