Compare the updates of control on one stream only

Callers: after the machine of a control instance was suspended for a second or more, an entry that knew its clock took fresh state of a new stream for outdated 0.6 to 0.9 s after the opening, and opened another each second or did without fresh state, for 5 to 10 s, if no other instance was reachable or all had been suspended. Found by reading; no run with a suspended machine was made.

Cause: the steady clock stands still during a suspension, and the times of earlier streams were kept for the comparison. The delay was at most the age of the new stream, but that grows, so it passed the bound of 1,000 ms. The test looked 10 ms after the opening only.

Evidence: UpdateDelaysTest on the code before: an update that came at once, 1,200 ms after its stream was opened, had a delay of 1,200 ms, bound 0.

Why it works: each stream has its own comparison, so a new one knows nothing from before the suspension. A slow new stream is covered by the bound on the first answer. The delay can't exceed the age of the stream, so that limit is gone.

The case of UpdateDelaysTest that asked for at most the age of a new stream (10 ms) asks for 0 now, for 0 also 1,200 ms after the opening, and for the true delay of a late update after that. UpdateDelaysTest, RoutesInForceTest and FeedSourceTest pass.

--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -36,7 +36,6 @@
     private val source =
         FeedSource(settings.dataCentre, Math.floorMod(settings.id.text.hashCode(), FIRST_CHOICE_RANGE))
     private val streams = HashMap<InstanceId, Stream>()
-    private val delays = UpdateDelays()
     private var wasFresh = false
     private var lostMillis = MonotonicClock.nowMillis()
     private var isClosed = false
@@ -137,8 +136,7 @@
     private fun onUpdateReceived(stream: Stream, update: FeedUpdate) {
         if (streams[stream.instance] !== stream) return
         val nowMillis = MonotonicClock.nowMillis()
-        stream.hold(update)
-        stream.delayMillis = delays.delayMillis(update.sentAt, stream.openedMillis, nowMillis)
+        stream.hold(update, nowMillis)
         val staleMillis = update.maxStalenessMillis + stream.delayMillis
         val steps = with(update) { source.recordUpdate(stream.instance, dataCentre, members, staleMillis, nowMillis) }
         perform(steps, nowMillis)
@@ -164,16 +162,19 @@
 
     private inner class Stream(val instance: InstanceId, val client: RpcClient?, val openedMillis: Long) :
         StreamObserver<FeedUpdate> {
+        private val delays = UpdateDelays(openedMillis)
         private var held: FeedUpdate? = null
         var updates = 0L
             private set
 
         /** How long the last update was under way, in milliseconds. */
         var delayMillis = 0L
+            private set
 
-        /** Keeps [update] with the parts of earlier ones that the instance sends only once. */
-        fun hold(update: FeedUpdate) {
+        /** Keeps [update], received at [nowMillis], with the parts of earlier ones that the instance sends only once. */
+        fun hold(update: FeedUpdate, nowMillis: Long) {
             updates++
+            delayMillis = delays.delayMillis(update.sentAt, nowMillis)
             held = update.copy(
                 directory = update.directory ?: held?.directory,
                 crashCounts = update.crashCounts ?: held?.crashCounts,
