Take the largest number of gateways in the first second as the first

Callers: when all entries start together, each admitted long prompts as if it were the only one until a larger number was told, about a second by reading. What that costs callers was not measured.

Cause: the first number from fresh state was used at once. An instance counts an entry 500 ms after it sent it fresh state, so the first update counts none of the entries that start together, and the entry uses 1.

Why it works: while no number is known, the largest of the reports of 1 s is used after that second, which is longer than the count and a heartbeat take (500 and 400 ms), and the number for an unknown one before. A start does not wait for the hold of 3 s.

GatewayCountTest and DispatcherTest pass.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/GatewayCount.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GatewayCount.kt
@@ -6,7 +6,8 @@
  * A reported number may be too small: an instance without fresh state knows only the gateways that follow it, and a
  * gateway that looks for another instance counts at none. Therefore a larger number is used at once, and a smaller one
  * after all reports of [HOLD_MILLIS] were smaller and came from fresh state. Without such reports the number stays. The
- * first number from fresh state is used at once, whatever it is.
+ * first number is the largest that fresh state reported within [FIRST_HOLD_MILLIS], because gateways that start together
+ * are not counted at once.
  *
  * Has no clock of its own and is not thread-safe.
  */
@@ -24,7 +25,6 @@
     public fun report(gateways: Int, isFresh: Boolean, nowMillis: Long) {
         when {
             gateways >= count -> use(gateways)
-            isFresh && knownCount == null -> use(gateways)
             isFresh -> considerSmaller(gateways, nowMillis)
             else -> smaller = null
         }
@@ -33,7 +33,8 @@
     private fun considerSmaller(gateways: Int, nowMillis: Long) {
         val before = smaller?.takeIf { nowMillis - it.lastMillis <= MAX_GAP_MILLIS }
         val current = Smaller(maxOf(gateways, before?.largest ?: 0), before?.sinceMillis ?: nowMillis, nowMillis)
-        if (nowMillis - current.sinceMillis >= HOLD_MILLIS) use(current.largest) else smaller = current
+        val holdMillis = if (knownCount == null) FIRST_HOLD_MILLIS else HOLD_MILLIS
+        if (nowMillis - current.sinceMillis >= holdMillis) use(current.largest) else smaller = current
     }
 
     private fun use(gateways: Int) {
@@ -49,6 +50,9 @@
         /** Longer than a gateway whose instance has ended takes to be counted at another: 2,800 ms. */
         public const val HOLD_MILLIS: Long = 3_000L
 
+        /** Longer than a control instance takes to count a gateway that has begun to follow it, and to tell it. */
+        public const val FIRST_HOLD_MILLIS: Long = 1_000L
+
         /** Reports that are further apart than this are no evidence for the time between them. */
         private const val MAX_GAP_MILLIS = 2_000L
     }
