Send one probe at a time to a silent engine

Callers saw streams end with 502 although their engine was sound and only stalled. All attempts that wait for an engine measure its silence from its last byte, so each of them probed it in the same millisecond, with a connection each, and again 0.8 s later. The probes fill the accept queue of an engine that stalls; further connects time out after 0.3 s, and the attempts that wait are given up.

Evidence: SilentEngineTest, an engine with a queue of 50 that accepts nothing for 3 s while 40 stream requests wait for it: before, 40 of 40 ended with 502 after 2 s; now 40 of 40 are answered and the engine gets at most 45 connections, 40 of them for the requests.

The pool has one probe of an upstream in flight, whose result goes to all that wait, and the next one starts 0.8 s after one that succeeded at the earliest. It keeps the connection of a probe only if the upstream has no idle one.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -11,6 +11,7 @@
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.gateway.upstream.UpstreamFailure
+import marigoldward.gateway.upstream.UpstreamPool
 import java.io.ByteArrayOutputStream
 
 /**
@@ -387,6 +388,6 @@
          * An engine that sends nothing for this long is probed, in milliseconds. The first event normally arrives
          * earlier.
          */
-        const val PROBE_AFTER_MILLIS = 800L
+        const val PROBE_AFTER_MILLIS = UpstreamPool.PROBE_INTERVAL_MILLIS
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -28,6 +28,12 @@
 
     /** The upstreams whose last response to a request with an id bore none. */
     private val upstreamsWithoutIds = HashSet<UpstreamId>()
+
+    /** Those that wait for the result of the probe in progress, for each upstream that has one. */
+    private val probes = HashMap<UpstreamId, MutableList<(Boolean) -> Unit>>()
+
+    /** When the latest probe of an upstream succeeded, in milliseconds of monotonic time. */
+    private val reachedMillis = HashMap<UpstreamId, Long>()
     private val bootstrap =
         Bootstrap()
             .group(loop)
@@ -41,25 +47,51 @@
         if (connection == null) connect(call) else connection.send(call)
     }
 
-    /** Opens a connection to [upstream] and keeps it for later calls; passes to [onResult] whether that succeeded. */
+    /**
+     * Checks whether [upstream] still accepts connections, and passes the result to [onResult].
+     *
+     * An upstream gets one probe at a time, whose result goes to all that wait for it, and the next one
+     * [PROBE_INTERVAL_MILLIS] after one that succeeded.
+     */
     fun probe(upstream: ListedUpstream, onResult: (Boolean) -> Unit) {
+        val pending = probes[upstream.id]
+        val lastReachedMillis = reachedMillis[upstream.id]
+        when {
+            pending != null -> pending += onResult
+            lastReachedMillis != null && MonotonicClock.nowMillis() - lastReachedMillis < PROBE_INTERVAL_MILLIS ->
+                onResult(true)
+            else -> startProbe(upstream, onResult)
+        }
+    }
+
+    private fun startProbe(upstream: ListedUpstream, onResult: (Boolean) -> Unit) {
         val address = parseAddressOrNull(upstream.address) ?: return onResult(false)
+        probes[upstream.id] = mutableListOf(onResult)
         GatewayMetrics.connectionsOpened.inc()
         val connectFuture = bootstrap.clone().handler(Initializer(upstream.id)).connect(address)
         onLoopWhenDone(connectFuture) {
             if (connectFuture.isSuccess) {
-                addIdle(upstream.id, connectFuture.channel().pipeline().get(UpstreamConnection::class.java))
+                reachedMillis[upstream.id] = MonotonicClock.nowMillis()
+                keepIfOnly(upstream.id, connectFuture.channel().pipeline().get(UpstreamConnection::class.java))
+            } else {
+                reachedMillis.remove(upstream.id)
             }
-            onResult(connectFuture.isSuccess)
+            val waiting = probes.remove(upstream.id).orEmpty()
+            waiting.forEach { loggedTask { it(connectFuture.isSuccess) }.run() }
         }
     }
 
+    private fun keepIfOnly(id: UpstreamId, connection: UpstreamConnection) {
+        if (idle[id].isNullOrEmpty()) addIdle(id, connection) else connection.close()
+    }
+
     /**
      * Closes the idle connections that upstreams are about to close, and those to upstreams that get no more requests.
      */
     fun closeExpired(acceptsRequests: (UpstreamId) -> Boolean) {
         val nowMillis = MonotonicClock.nowMillis()
         upstreamsWithoutIds.removeIf { !acceptsRequests(it) }
+        reachedMillis.keys.removeIf { !acceptsRequests(it) }
         idle.entries.removeIf { (id, connections) ->
             val expired = connections.filter { !acceptsRequests(id) || !isUsable(it, nowMillis, MAX_IDLE_MILLIS) }
             expired.forEach { connection ->
@@ -155,17 +187,20 @@
         }
     }
 
-    private companion object {
+    companion object {
+        /** How long a waiting request takes an upstream that was reached for reachable, in milliseconds. */
+        const val PROBE_INTERVAL_MILLIS: Long = 800
+
         /** Data centres are a few milliseconds apart, so a connection that takes longer has lost its first packet. */
-        const val CONNECT_TIMEOUT_MILLIS = 300
+        private const val CONNECT_TIMEOUT_MILLIS = 300
 
         /** How long an idle connection is kept if the upstream announces no time-out or a longer one. */
-        const val MAX_IDLE_MILLIS = 8_000L
+        private const val MAX_IDLE_MILLIS = 8_000L
 
         /** As [MAX_IDLE_MILLIS], for a connection that is to carry a request that must not be sent twice. */
-        const val MAX_FRESH_IDLE_MILLIS = 3_000L
+        private const val MAX_FRESH_IDLE_MILLIS = 3_000L
 
         /** How long before its announced time-out a connection is no longer used. */
-        const val CLOSE_MARGIN_MILLIS = 1_000L
+        private const val CLOSE_MARGIN_MILLIS = 1_000L
     }
 }
--- a/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/FakeUpstream.kt
@@ -10,10 +10,18 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
-/** An upstream that passes each request to [script], which writes arbitrary bytes or closes the connection. */
-internal class FakeUpstream(private val script: (FakeUpstream.Call) -> Unit) : Closeable {
+/**
+ * An upstream that passes each request to [script], which writes arbitrary bytes or closes the connection.
+ *
+ * @param acceptDelayMillis how long connections wait in the queue of the system at first, as while a process stalls
+ */
+internal class FakeUpstream(private val acceptDelayMillis: Long, private val script: (FakeUpstream.Call) -> Unit) :
+    Closeable {
+    constructor(script: (FakeUpstream.Call) -> Unit) : this(0, script)
+
     /** One received request; [numberOnConnection] counts the requests of its connection from 0. */
     class Call(val head: String, val body: ByteArray, val socket: Socket, val numberOnConnection: Int) {
         val id: String
@@ -40,13 +48,16 @@
 
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     val calls: MutableList<Call> = CopyOnWriteArrayList()
+    val connectionCount = AtomicInteger()
     val closedRequestIds = LinkedBlockingQueue<String>()
     val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
         thread(isDaemon = true) {
+            Thread.sleep(acceptDelayMillis)
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
+                connectionCount.incrementAndGet()
                 thread(isDaemon = true) { runCatching { serve(socket) } }
             }
         }
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
@@ -1,6 +1,7 @@
 package marigoldward.gateway.session
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.gateway.FakeUpstream
@@ -49,4 +50,20 @@
                 other.close()
             }
         }
+
+        describe("an engine that accepts no connection for 3 s while 40 requests wait for it") {
+            // Guards against probes of every waiting request that fill the engine's queue and then fail sound requests.
+            it("answers all of them in the end and gets one probe in 0.8 s") {
+                val engine = FakeUpstream(acceptDelayMillis = 3_000) { it.respond(EVENT) }
+                TestGateway(listOf(engine.address to EngineStage.DECODE), timeoutMillis = 8_000).use { gateway ->
+                    val callers = List(40) { gateway.caller() }
+                    callers.forEachIndexed { index, caller -> caller.send(request("r$index")) }
+                    callers.map { it.readResponse()?.status }.groupingBy { it }.eachCount() shouldBe mapOf(200 to 40)
+                    engine.calls.size shouldBe 40
+                    engine.connectionCount.get() shouldBeLessThanOrEqual 45
+                    callers.forEach { it.close() }
+                }
+                engine.close()
+            }
+        }
     })
