Don't take a process without descriptors for an unreachable engine

A probe whose channel can't be created in this process, as without a free descriptor, counted as a refused connection: every stream that waited 0.8 s for a sound engine was given up.

Evidence: the new case of UpstreamPoolTest, a pool whose channels fail with "Too many open files", got "unreachable" for a listening upstream before and doesn't after.

Netty's future of such a failure has a channel that isn't ours. That tells it from a connection that was refused or timed out. Such a probe says nothing of the engine, and the request is watched on.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -48,7 +48,8 @@
     }
 
     /**
-     * Checks whether [upstream] still accepts connections, and passes the result to [onResult].
+     * Checks whether [upstream] still accepts connections, and passes to [onResult] whether it may do so: `true` too if
+     * this process could not create a channel.
      *
      * An upstream gets one probe at a time, whose result goes to all that wait for it, and the next one
      * [PROBE_INTERVAL_MILLIS] after one that succeeded.
@@ -76,8 +77,8 @@
             } else {
                 reachedMillis.remove(upstream.id)
             }
-            val waiting = probes.remove(upstream.id).orEmpty()
-            waiting.forEach { loggedTask { it(connectFuture.isSuccess) }.run() }
+            val mayBeReachable = connectFuture.isSuccess || connectFuture.channel() !is UpstreamChannel
+            probes.remove(upstream.id).orEmpty().forEach { loggedTask { it(mayBeReachable) }.run() }
         }
     }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamPoolTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/upstream/UpstreamPoolTest.kt
@@ -112,4 +112,18 @@
                 group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync()
             }
         }
+        // Guards against requests that are taken from a sound engine because this process has no descriptor for a probe.
+        describe("a probe without a descriptor for its connection") {
+            it("does not find the upstream unreachable") {
+                val group = NioEventLoopGroup(1)
+                val mayBeReachable = CompletableFuture<Boolean>()
+                FakeUpstream { }.use { upstream ->
+                    val pool = UpstreamPool(group.next(), TestDialect) { throw ChannelException("Too many open files") }
+                    val listed = call(upstream, "1", BodyListener()).upstream
+                    group.next().execute { pool.probe(listed) { mayBeReachable.complete(it) } }
+                    mayBeReachable.get(5, TimeUnit.SECONDS) shouldBe true
+                }
+                group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync()
+            }
+        }
     })
