Eject an engine whose probe failed

New requests went to an engine that a failed probe had shown to be gone, until a connect to it timed out as well. A probe that failed ended its attempt as SILENT, which ejects only an engine that has sent nothing at all since the attempt began; one that had answered another request since then stayed healthy.

Evidence: SilentEngineTest, an engine that answers another request and is gone: 0 consecutive failures after its probe before, 1 and an ejection now. DispatcherTest: with the ejection taken out, the gone engine is placed and counts 0 failures; without the check for an ejection in force, 40 requests that waited for one probe count 40.

A failed probe is recorded as what it is, an upstream that accepts no connections, once for all that waited for it. The attempt still ends as SILENT: the request may have run, so that at most once holds as before. SilentEngineTest: both cases share their set-up, unchanged but for the layout of one condition.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -209,6 +209,11 @@
         }
     }
 
+    /** Records that [upstream] accepted no connection at [nowMillis]: it gets no requests for some time. */
+    public fun recordUnreachable(upstream: UpstreamId, nowMillis: Long) {
+        update(upstream) { record -> record.copy(health = record.health.afterFailedProbe(nowMillis)) }
+    }
+
     /** Records that [upstream] has asked at [nowMillis] for no requests for the next [durationMillis]. */
     public fun recordRefusal(upstream: UpstreamId, durationMillis: Long, nowMillis: Long) {
         update(upstream) { record ->
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -56,6 +56,10 @@
             }
     }
 
+    /** Returns the health after a probe at [nowMillis] could not connect, whose result several attempts may report. */
+    internal fun afterFailedProbe(nowMillis: Long): UpstreamHealth =
+        if (nowMillis < ejectedUntilMillis) copy(hasBrokenOff = false) else ejected(nowMillis)
+
     private fun withFailureSample(failure: Double): UpstreamHealth =
         copy(failureRate = failureRate + FAILURE_RATE_WEIGHT * (failure - failureRate))
 
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -127,6 +127,25 @@
             }
         }
 
+        describe("an upstream that sent bytes for another request, and then accepted no connection") {
+            val dispatcher = dispatcher(upstream("gone"), upstream("other"))
+            val gone = UpstreamId.parse("gone")
+            val attempts = List(40) { dispatcher.recordStart(gone, null, 0, 0) }
+            dispatcher.recordReceived(gone, null, 5)
+            attempts.forEach {
+                dispatcher.recordEnd(it, AttemptEnd.SILENT, 900)
+                dispatcher.recordUnreachable(gone, 900)
+            }
+            // Guards against new requests that are placed at an engine that a failed probe has shown to be gone.
+            it("gets no new requests") {
+                dispatcher.place(SERVICE, setOf(UpstreamId.parse("other")), 901).shouldBeInstanceOf<Placement.None>()
+            }
+            // Guards against an ejection that is doubled by each request that waited for the same probe.
+            it("is ejected once, however many requests waited for the probe") {
+                dispatcher.recordOrNull(gone)?.health?.consecutiveFailures shouldBe 1
+            }
+        }
+
         describe("a dispatcher whose upstreams have all failed") {
             it("tries them again after the shortest ejection, however often they have failed") {
                 val dispatcher = dispatcher(upstream("one"))
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -6,6 +6,7 @@
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.PlacementCosts
 import marigoldward.core.dispatch.RetryBudgetShare
+import marigoldward.core.dispatch.UpstreamHealth
 import marigoldward.core.getOrNull
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
@@ -84,6 +85,9 @@
 
     fun caller(): RawCaller = RawCaller(port)
 
+    /** Returns the health of the upstream that was listed as number [index]. */
+    fun health(index: Int): UpstreamHealth = onLoop { checkNotNull(dispatcher.recordOrNull(listed[index].id)).health }
+
     /** Replaces the list of upstreams, as read now. */
     fun updateUpstreams(list: List<ListedUpstream>) {
         dispatcher.updateUpstreams(list, MonotonicClock.nowMillis())
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.gateway.FakeUpstream
@@ -14,40 +15,47 @@
 private fun request(id: String) =
     "POST /r/x HTTP/1.1\r\nHost: h.example\r\nX-Id: $id\r\nX-Prompt: p\r\nContent-Length: 2\r\n\r\n{}"
 
+/**
+ * Sends a request to an engine that then answers another one and is gone, and passes the answer to [check] that comes
+ * from the other engine.
+ */
+private fun withRequestAtGoneEngine(check: (TestGateway, String?) -> Unit) {
+    val gone = FakeUpstream { call ->
+        if (call.id == "held") Thread.sleep(TIMEOUT_MILLIS) else call.respond("")
+    }
+    val other = FakeUpstream { it.respond(EVENT) }
+    val engines = listOf(gone, other)
+    TestGateway(engines.map { it.address to EngineStage.DECODE }, timeoutMillis = TIMEOUT_MILLIS).use { gateway ->
+        gateway.onLoop { gateway.updateUpstreams(gateway.listed.take(1)) }
+        gateway.caller().use { caller ->
+            caller.send(request("held"))
+            Thread.sleep(100)
+            gateway.caller().use { second ->
+                second.send(request("answered"))
+                second.readResponse()?.status shouldBe 200
+            }
+            gone.close()
+            gateway.onLoop { gateway.updateUpstreams(gateway.listed) }
+            check(gateway, caller.readResponse()?.body)
+        }
+    }
+    other.close()
+}
+
 class SilentEngineTest :
     DescribeSpec({
         describe("an engine that answers another request, and is gone without closing its connections") {
             // Guards against a stream that waits until its deadline, as its engine was watched for silence only once.
             it("has its other requests sent to another engine before their deadline") {
-                val gone = FakeUpstream { call ->
-                    if (call.id ==
-                        "held"
-                    ) {
-                        Thread.sleep(TIMEOUT_MILLIS)
-                    } else {
-                        call.respond("")
-                    }
-                }
-                val other = FakeUpstream { it.respond(EVENT) }
-                val engines = listOf(gone, other)
-                TestGateway(
-                    engines.map { it.address to EngineStage.DECODE },
-                    timeoutMillis = TIMEOUT_MILLIS,
-                ).use { gateway ->
-                    gateway.onLoop { gateway.updateUpstreams(gateway.listed.take(1)) }
-                    gateway.caller().use { caller ->
-                        caller.send(request("held"))
-                        Thread.sleep(100)
-                        gateway.caller().use { second ->
-                            second.send(request("answered"))
-                            second.readResponse()?.status shouldBe 200
-                        }
-                        gone.close()
-                        gateway.onLoop { gateway.updateUpstreams(gateway.listed) }
-                        caller.readResponse()?.body shouldBe EVENT
-                    }
+                withRequestAtGoneEngine { _, answer -> answer shouldBe EVENT }
+            }
+            // Guards against new requests that are placed at an engine that a failed probe has shown to be gone.
+            it("is ejected by the failed probe") {
+                withRequestAtGoneEngine { gateway, _ ->
+                    val health = gateway.health(0)
+                    health.consecutiveFailures shouldBe 1
+                    health.ejectedUntilMillis shouldBeGreaterThan health.lastFailureMillis
                 }
-                other.close()
             }
         }
 
