Log the silence of an engine rather than the age of the attempt

The reason of an attempt that a failed probe ended said "nothing came for" with the age of the attempt, also where the engine had sent bytes for another request since: the line hid which of the two watches had found it.

The reason has the time since the last byte of the engine for any request, which is what the watch measures; took_ms has the age as before. SilentEngineTest waits for its request to arrive before the other one is sent, so that the difference doesn't depend on the load.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -172,7 +172,7 @@
     }
 
     private fun onSilent(attempt: UpstreamAttempt) {
-        attempt.cancel(AttemptEnd.SILENT, "nothing came for ${attempt.ageMillis} ms")
+        attempt.cancel(AttemptEnd.SILENT, "nothing came for ${attempt.upstreamSilentMillis} ms")
         context.dispatcher.recordUnreachable(attempt.upstream.id, context.nowMillis())
         if (attempt.upstream.stage == EngineStage.PREFILL) {
             onPrefillFailed(attempt, AttemptEnd.SILENT, "silent")
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/SilentEngineTest.kt
@@ -6,10 +6,13 @@
 import io.kotest.matchers.shouldBe
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.gateway.FakeUpstream
+import marigoldward.gateway.LogCapture
 import marigoldward.gateway.TestGateway
 
 private const val TIMEOUT_MILLIS = 4_000L
 
+private const val ANSWER_AFTER_MILLIS = 100L
+
 private const val EVENT = "id: 1\ndata: second\n\n"
 
 private fun request(id: String) =
@@ -29,7 +32,8 @@
         gateway.onLoop { gateway.updateUpstreams(gateway.listed.take(1)) }
         gateway.caller().use { caller ->
             caller.send(request("held"))
-            Thread.sleep(100)
+            while (gone.calls.isEmpty()) Thread.sleep(5)
+            Thread.sleep(ANSWER_AFTER_MILLIS)
             gateway.caller().use { second ->
                 second.send(request("answered"))
                 second.readResponse()?.status shouldBe 200
@@ -57,6 +61,18 @@
                     health.ejectedUntilMillis shouldBeGreaterThan health.lastFailureMillis
                 }
             }
+            // Guards against a log line that calls the age of the attempt the time without bytes.
+            it("is logged with the time since its last byte") {
+                LogCapture("session").use { log ->
+                    withRequestAtGoneEngine { _, _ ->
+                        val line = log.linesWith("request=held", "end=silent").single()
+                        val silentMillis = Regex("nothing came for (\\d+) ms").find(line)?.groupValues?.get(1)?.toLong()
+                        val tookMillis = Regex("took_ms=(\\d+)").find(line)?.groupValues?.get(1)?.toLong()
+                        checkNotNull(tookMillis) - checkNotNull(silentMillis) shouldBeGreaterThan
+                            ANSWER_AFTER_MILLIS / 2
+                    }
+                }
+            }
         }
 
         describe("an engine that accepts no connection for 3 s while 40 requests wait for it") {
