--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -11,6 +11,7 @@
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.gateway.upstream.UpstreamFailure
+import marigoldward.gateway.upstream.UpstreamPool
 import java.io.ByteArrayOutputStream
 
 /**
@@ -171,7 +172,8 @@
     }
 
     private fun onSilent(attempt: UpstreamAttempt) {
-        attempt.cancel(AttemptEnd.SILENT, "nothing came for ${attempt.ageMillis} ms")
+        attempt.cancel(AttemptEnd.SILENT, "nothing came for ${attempt.upstreamSilentMillis} ms")
+        context.dispatcher.recordUnreachable(attempt.upstream.id, context.nowMillis())
         if (attempt.upstream.stage == EngineStage.PREFILL) {
             onPrefillFailed(attempt, AttemptEnd.SILENT, "silent")
         } else {
@@ -387,6 +389,6 @@
          * An engine that sends nothing for this long is probed, in milliseconds. The first event normally arrives
          * earlier.
          */
-        const val PROBE_AFTER_MILLIS = 800L
+        const val PROBE_AFTER_MILLIS = UpstreamPool.PROBE_INTERVAL_MILLIS
     }
 }
