Watch an answer without a target at most ten times a second

Callers saw an entry that stops to serve: on an idempotent route without a target (target_latency_ms is 0 by default) and with an empty retry budget, an unanswered request was overdue after 0 ms, so the event loop asked the budget again and again until the deadline, and each turn kept a timer.

Evidence: OverdueAnswerTest, a route without a target, one request answered after 1 s: 1,455,793 asks before, bound 20; passes now.

An answer is overdue after 100 ms at the earliest, so a request asks at most ten times a second. Timers that have fired are dropped when another is set; this part has no test of its own.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -31,7 +31,7 @@
             .help("Attempts at upstreams, by how they ended")
             .labelNames("end")
             .register()
-    private val retries: Counter =
+    val retries: Counter =
         Counter
             .builder()
             .name("marigoldward_retries_total")
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -75,7 +75,7 @@
         scheduleUntilEnd(delayMillis) { retryIfOverdue(attempt) }
     }
 
-    private fun overdueMillis(): Long = request.route.targetLatencyMillis * OVERDUE_TARGETS
+    private fun overdueMillis(): Long = maxOf(MIN_OVERDUE_MILLIS, request.route.targetLatencyMillis * OVERDUE_TARGETS)
 
     /**
      * Sends the request to another upstream if no bytes of the response came for as long as it takes to be overdue, as it
@@ -140,5 +140,8 @@
          * its route.
          */
         const val OVERDUE_TARGETS = 2
+
+        /** The shortest time after which a response is overdue; a route may have no target. */
+        const val MIN_OVERDUE_MILLIS = 100L
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -40,6 +40,7 @@
 
     /** Calls [action] after [delayMillis], unless the request has ended by then. */
     protected fun scheduleUntilEnd(delayMillis: Long, action: () -> Unit) {
+        timers.removeIf { it.isDone }
         timers.add(context.schedule(delayMillis, action))
     }
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/OverdueAnswerTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/OverdueAnswerTest.kt
@@ -3,10 +3,12 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeInRange
 import io.kotest.matchers.maps.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import marigoldward.gateway.FakeUpstream
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.TestGateway
 import marigoldward.gateway.firstThenOthers
 import marigoldward.support.time.MonotonicClock
@@ -42,11 +44,12 @@
     upstreams: List<FakeUpstream>,
     retryBudgetSlack: Int = 64,
     timeoutMillis: Long = TIMEOUT_MILLIS,
+    targetMillis: Long = TARGET_MILLIS,
     action: (TestGateway) -> T,
 ): T = TestGateway(
     upstreams.map { it.address to null },
     timeoutMillis = timeoutMillis,
-    targetLatencyMillis = TARGET_MILLIS,
+    targetLatencyMillis = targetMillis,
     retryBudgetSlack = retryBudgetSlack,
 ).use { gateway -> action(gateway).also { upstreams.forEach(FakeUpstream::close) } }
 
@@ -138,4 +141,24 @@
                 }
             }
         }
+        describe("a route without a target") {
+            // Guards against an event loop that asks the empty retry budget again and again without a pause.
+            it("asks the retry budget for an unanswered request a few times") {
+                val upstreams = List(2) {
+                    FakeUpstream {
+                        Thread.sleep(1_000)
+                        it.respond("late")
+                    }
+                }
+                val denied = GatewayMetrics.retries.labelValues("denied")
+                val deniedBefore = denied.get()
+                withGateway(upstreams, retryBudgetSlack = 0, targetMillis = 0) { gateway ->
+                    gateway.caller().use { caller ->
+                        caller.send(get())
+                        caller.readResponse()?.body shouldBe "late"
+                    }
+                }
+                denied.get() - deniedBefore shouldBeLessThanOrEqual 20.0
+            }
+        }
     })
