Give up an overdue answer only where another upstream is usable

Callers got 502 for a slow answer: a service with one upstream, which answers in one piece after 7 targets, was cut off at 2, as the attempt was cancelled and the budget charged before it was known that nothing else could answer.

Evidence: OverdueAnswerTest, no other upstream and another one that refuses requests: both requests ended with 502 before; both get the answer now, run once.

The other upstream is chosen first; without one, the attempt goes on and is looked at again after the same time, and no retry is taken.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -79,7 +79,8 @@
 
     /**
      * Sends the request to another upstream if no bytes of the response came for as long as it takes to be overdue, as it
-     * may be lost, and if the retry budget allows it. Otherwise the attempt goes on and is watched until the deadline.
+     * may be lost, if another upstream is usable and the retry budget allows it. Otherwise the attempt goes on, and is
+     * watched as long as the route and the time that is left allow another one.
      */
     private fun retryIfOverdue(attempt: UpstreamAttempt) {
         if (hasEnded || currentAttempt !== attempt) return
@@ -87,15 +88,26 @@
         when {
             silentMillis < overdueMillis() -> watchForOverdue(attempt, overdueMillis() - silentMillis)
             !mayRepeat() -> Unit
-            !takeFromRetryBudget() -> watchForOverdue(attempt, overdueMillis())
             else -> {
+                val other = otherUpstreamOrNull(attempt)
+                if (other == null || !takeFromRetryBudget()) return watchForOverdue(attempt, overdueMillis())
                 attempt.cancel(AttemptEnd.SILENT, "nothing came for $silentMillis ms")
                 recordAttemptEnd(attempt.upstream.id, AttemptEnd.SILENT)
-                startNextAttempt()
+                if (!endIfQuarantined()) send(other)
             }
         }
     }
 
+    /** Returns a usable upstream that the request was not sent to, or null if there is none. */
+    private fun otherUpstreamOrNull(attempt: UpstreamAttempt): ListedUpstream? {
+        val tried = triedUpstreams + attempt.upstream.id
+        return when (val placement = context.dispatcher.place(request.serviceName, tried, context.nowMillis())) {
+            is Placement.Single -> placement.upstream
+            is Placement.Split -> error("a plain service has no engines")
+            is Placement.None -> null
+        }
+    }
+
     /** Whether the route and the time that is left allow another attempt after an overdue one. */
     private fun mayRepeat(): Boolean =
         history.after(AttemptEnd.SILENT).possibleRuns < request.route.maxAttempts && remainingMillis >= overdueMillis()
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/OverdueAnswerTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/OverdueAnswerTest.kt
@@ -161,4 +161,30 @@
                 denied.get() - deniedBefore shouldBeLessThanOrEqual 20.0
             }
         }
+        describe("an overdue request for which no other upstream is usable") {
+            // Guards against a slow answer that is cut off, and its caller told 502, where nothing else could answer.
+            listOf("there is no other" to 1, "the other refuses requests" to 2).forEach { (case, count) ->
+                it("is awaited as $case") {
+                    val refusal = "X-Not-Run: 1\r\nX-Refuses-For: 10000\r\n"
+                    val refusing = FakeUpstream { it.respond("", "503 Service Unavailable", refusal) }
+                    val slow = FakeUpstream {
+                        if (it.id == "slow") Thread.sleep(7 * TARGET_MILLIS)
+                        it.respond("sound")
+                    }
+                    withGateway(listOf(slow, refusing).take(count)) { gateway ->
+                        gateway.caller().use { caller ->
+                            repeat(if (count > 1) 40 else 0) {
+                                caller.send(get("$it"))
+                                caller.readResponse()?.status shouldBe 200
+                            }
+                            caller.send(get("slow"))
+                            caller.readResponse()?.let { it.status to it.body } shouldBe (200 to "sound")
+                        }
+                    }
+                    refusing.close()
+                    refusing.calls.size shouldBe count - 1
+                    slow.calls.count { it.id == "slow" } shouldBe 1
+                }
+            }
+        }
     })
