Eject an upstream after two malformed answers in a row

Callers got 502 again and again from an upstream whose answers are all malformed, though a sound one was there: the malformed bytes were recorded as received before the failure, so the upstream was never suspect at its second failure and was not ejected.

Malformed bytes are evidence about their own attempt only: recordEnd is told that its answer had begun, and the last time of receipt is left alone. A sole upstream still goes on to get requests, as the two older tests show.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -185,12 +185,15 @@
         }
     }
 
-    /** Records that [attempt] ended as [end] at [nowMillis]. */
-    public fun recordEnd(attempt: Attempt, end: AttemptEnd, nowMillis: Long) {
+    /**
+     * Records that [attempt] ended as [end] at [nowMillis]; [hasReceivedBytes] is whether bytes of its own answer were
+     * received, malformed ones included.
+     */
+    public fun recordEnd(attempt: Attempt, end: AttemptEnd, nowMillis: Long, hasReceivedBytes: Boolean = false) {
         update(attempt.upstream) { record ->
             record.copy(
                 attempts = record.attempts.remove(attempt.number),
-                health = record.health.after(end, attempt.startedMillis, nowMillis),
+                health = record.health.after(end, attempt.startedMillis, nowMillis, hasReceivedBytes),
             )
         }
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -31,8 +31,16 @@
     internal fun isBaseEjectionOver(nowMillis: Long): Boolean =
         minOf(ejectedUntilMillis, lastFailureMillis + BASE_EJECTION_MILLIS) <= nowMillis
 
-    /** Returns the health after an attempt that began at [startedMillis] ended as [end] at [nowMillis]. */
-    internal fun after(end: AttemptEnd, startedMillis: Long, nowMillis: Long): UpstreamHealth = when (end) {
+    /**
+     * Returns the health after an attempt that began at [startedMillis] ended as [end] at [nowMillis], and of whose own
+     * answer bytes were received if [hasReceivedBytes].
+     */
+    internal fun after(
+        end: AttemptEnd,
+        startedMillis: Long,
+        nowMillis: Long,
+        hasReceivedBytes: Boolean,
+    ): UpstreamHealth = when (end) {
         AttemptEnd.CANCELLED -> this
         AttemptEnd.ANSWERED -> withFailureSample(0.0).copy(consecutiveFailures = 0, ejectedUntilMillis = NEVER_MILLIS)
         AttemptEnd.FAILED -> withFailureSample(1.0).copy(consecutiveFailures = 0)
@@ -47,7 +55,7 @@
         AttemptEnd.BROKEN ->
             withFailureSample(1.0)
                 .let { if (it.isSuspect) it.ejected(nowMillis) else it.suspected(nowMillis) }
-                .copy(hasBrokenOff = lastReceivedMillis >= startedMillis)
+                .copy(hasBrokenOff = hasReceivedBytes || lastReceivedMillis >= startedMillis)
         AttemptEnd.SILENT ->
             if (lastReceivedMillis > startedMillis) {
                 withFailureSample(1.0)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -57,6 +57,9 @@
     /** The time since the request was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
 
+    /** Whether bytes of the response were received, malformed ones included. */
+    private var hasReceivedBytes = false
+
     /** When bytes of the response were last received, in milliseconds of monotonic time, or null if none were. */
     private var lastReceivedMillis: Long? = null
 
@@ -104,7 +107,7 @@
         if (hasEnded) return
         hasEnded = true
         val nowMillis = context.nowMillis()
-        context.dispatcher.recordEnd(attempt, end, nowMillis)
+        context.dispatcher.recordEnd(attempt, end, nowMillis, hasReceivedBytes)
         if (end == AttemptEnd.SILENT || end == AttemptEnd.UNREACHABLE) context.pool.closeIdle(upstream.id)
         SessionLog.attemptEnded(request, attempt, end, reason, nowMillis)
     }
@@ -136,6 +139,7 @@
             val metadata = if (isOwn) reported.copy(isMisdirected = false) else reported
             val nowMillis = context.nowMillis()
             lastReceivedMillis = nowMillis
+            hasReceivedBytes = true
             context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
             metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
             context.recordAnnouncement(upstream, reported)
@@ -145,6 +149,7 @@
         override fun onData(data: ByteArray) {
             val nowMillis = context.nowMillis()
             lastReceivedMillis = nowMillis
+            hasReceivedBytes = true
             context.dispatcher.recordReceived(upstream.id, null, nowMillis)
             listener.onData(data)
         }
@@ -156,11 +161,8 @@
 
         override fun onEnd() = listener.onEnd()
 
-        /** Malformed bytes were received too. */
         override fun onFailure(failure: UpstreamFailure) {
-            if (failure is UpstreamFailure.Broken) {
-                context.dispatcher.recordReceived(upstream.id, null, context.nowMillis())
-            }
+            if (failure is UpstreamFailure.Broken) hasReceivedBytes = true
             listener.onFailure(failure)
         }
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/session/BrokenAnswersTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/session/BrokenAnswersTest.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val CALLERS = 6
+private const val MANY_CALLERS = 24
 private const val SOUND = "id: 1\ndata: sound\n\n"
 
 private fun request(path: String, id: Int) =
@@ -73,4 +74,26 @@
                 upstreams.forEach(FakeUpstream::close)
             }
         }
+        describe("an upstream that has sent two malformed answers in a row") {
+            // Guards against an upstream that goes on to get requests for malformed answers beside a sound one.
+            it("gets none for a while if the service has a sound upstream, however busy that is") {
+                val broken = FakeUpstream { it.write("garbage\r\n\r\n") }
+                val sound = FakeUpstream {
+                    Thread.sleep(300)
+                    it.respond(SOUND)
+                }
+                val threads = Executors.newFixedThreadPool(MANY_CALLERS)
+                TestGateway(listOf(broken.address to null, sound.address to null)).use { gateway ->
+                    gateway.updateUpstreams(gateway.listed.take(1))
+                    repeat(2) { gateway.send("/n/x", it)?.status shouldBe 502 }
+                    gateway.updateUpstreams(gateway.listed)
+                    threads
+                        .invokeAll((1..MANY_CALLERS).map { Callable { gateway.send("/n/x", it)?.status } })
+                        .map { it.get() } shouldContainExactly List(MANY_CALLERS) { 200 }
+                }
+                threads.shutdown()
+                listOf(broken, sound).forEach(FakeUpstream::close)
+                broken.calls.size shouldBe 2
+            }
+        }
     })
