Take an upstream for reached only by the answer that broke off

Callers got 502 from a machine that is known to be unreachable: an ejected upstream whose last failure was a broken answer is used where no other is healthy. That was computed from bytes of any request since the attempt began, and came back when old connections ended after a reconnect had failed.

Evidence: DispatcherTest, older answers that break off after an unreachable one, and attempts broken off before their own answers: both were placed at the ejected upstream before, and get none_usable now.

hasBrokenOff is set only if bytes of the attempt's own answer were received and it started after the last one that could not reach the upstream.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -10,8 +10,10 @@
  * @property lastReceivedMillis when bytes were last received, in milliseconds of monotonic time
  * @property refusesUntilMillis when the upstream accepts requests again according to its last refusal, in milliseconds
  *   of monotonic time
- * @property hasBrokenOff whether the latest failure was an answer that had begun: the upstream has been reached, and may
- *   answer the next request
+ * @property hasBrokenOff whether the latest failure was an answer that had begun, of an attempt that started after
+ *   [lastNotReachedMillis]: the upstream has been reached, and may answer the next request
+ * @property lastNotReachedMillis when an attempt last ended because the upstream could not be reached at its address, in
+ *   milliseconds of monotonic time
  */
 public data class UpstreamHealth(
     val consecutiveFailures: Int,
@@ -21,6 +23,7 @@
     val lastReceivedMillis: Long,
     val refusesUntilMillis: Long = Long.MIN_VALUE,
     val hasBrokenOff: Boolean = false,
+    val lastNotReachedMillis: Long = Long.MIN_VALUE,
 ) {
     /** Whether the latest attempts failed and nothing has been received since. */
     val isSuspect: Boolean get() = consecutiveFailures > 0 && lastReceivedMillis <= lastFailureMillis
@@ -50,12 +53,13 @@
                 ejectedUntilMillis = nowMillis + MISDIRECTED_EJECTION_MILLIS,
                 lastFailureMillis = nowMillis,
                 hasBrokenOff = false,
+                lastNotReachedMillis = nowMillis,
             )
-        AttemptEnd.UNREACHABLE -> withFailureSample(1.0).ejected(nowMillis)
+        AttemptEnd.UNREACHABLE -> withFailureSample(1.0).ejected(nowMillis).copy(lastNotReachedMillis = nowMillis)
         AttemptEnd.BROKEN ->
             withFailureSample(1.0)
                 .let { if (it.isSuspect) it.ejected(nowMillis) else it.suspected(nowMillis) }
-                .copy(hasBrokenOff = hasReceivedBytes || lastReceivedMillis >= startedMillis)
+                .copy(hasBrokenOff = hasReceivedBytes && startedMillis > lastNotReachedMillis)
         AttemptEnd.SILENT ->
             if (lastReceivedMillis > startedMillis) {
                 withFailureSample(1.0)
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -67,7 +67,7 @@
     val id = UpstreamId.parse(name)
     val attempts = List(2) { recordStart(id, null, 0, 0) }
     recordReceived(id, null, 5)
-    attempts.forEach { recordEnd(it, AttemptEnd.BROKEN, 10) }
+    attempts.forEach { recordEnd(it, AttemptEnd.BROKEN, 10, hasReceivedBytes = true) }
 }
 
 class DispatcherTest :
@@ -180,6 +180,26 @@
                 dispatcher.recordEnd(attempt, AttemptEnd.UNREACHABLE, 21)
                 dispatcher.place(SERVICE, emptySet(), 30) shouldBe Placement.None(Placement.Reason.NONE_USABLE)
             }
+            // Guards against requests to a crashed upstream whose old connections end after a new one has failed.
+            it("avoids one that can't be reached, though older answers break off after that") {
+                val dispatcher = dispatcher(upstream("one"))
+                val id = UpstreamId.parse("one")
+                val begun = List(3) { dispatcher.recordStart(id, null, 0, 0) }
+                dispatcher.recordReceived(id, null, 5)
+                dispatcher.recordEnd(begun[0], AttemptEnd.BROKEN, 10, hasReceivedBytes = true)
+                dispatcher.recordEnd(dispatcher.recordStart(id, null, 0, 11), AttemptEnd.UNREACHABLE, 12)
+                begun.drop(1).forEach { dispatcher.recordEnd(it, AttemptEnd.BROKEN, 13, hasReceivedBytes = true) }
+                dispatcher.place(SERVICE, emptySet(), 20) shouldBe Placement.None(Placement.Reason.NONE_USABLE)
+            }
+            // Guards against an upstream taken for one that answers because of bytes of another request.
+            it("avoids one that has broken off attempts whose answers had not begun") {
+                val dispatcher = dispatcher(upstream("one"))
+                val id = UpstreamId.parse("one")
+                val attempts = List(3) { dispatcher.recordStart(id, null, 0, 0) }
+                dispatcher.recordReceived(id, null, 5)
+                attempts.drop(1).forEach { dispatcher.recordEnd(it, AttemptEnd.BROKEN, 10) }
+                dispatcher.place(SERVICE, emptySet(), 20) shouldBe Placement.None(Placement.Reason.NONE_USABLE)
+            }
             it("avoids one that has asked for no requests or is silent since") {
                 val dispatcher = dispatcher(upstream("refuses"), upstream("silent"))
                 listOf("refuses", "silent").forEach { dispatcher.breakOffTwo(it) }
