Name whose silence and whose begin an attempt measures

silentMillis beside upstreamSilentMillis, and hasResponseBegun of an attempt beside that of a stream's session, were easily confused: they are now answerSilentMillis and hasAnswerBegun. No behaviour changes. In StreamSession only the renamed use is touched.

--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -84,7 +84,7 @@
      */
     private fun retryIfOverdue(attempt: UpstreamAttempt) {
         if (hasEnded || currentAttempt !== attempt) return
-        val silentMillis = attempt.silentMillis
+        val silentMillis = attempt.answerSilentMillis
         when {
             silentMillis < overdueMillis() -> watchForOverdue(attempt, overdueMillis() - silentMillis)
             !mayRepeat() -> Unit
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -157,7 +157,7 @@
     }
 
     private fun isAwaited(attempt: UpstreamAttempt): Boolean =
-        !hasEnded && currentAttempt === attempt && !attempt.hasResponseBegun
+        !hasEnded && currentAttempt === attempt && !attempt.hasAnswerBegun
 
     private fun onProbed(attempt: UpstreamAttempt, isReachable: Boolean) {
         if (!isAwaited(attempt)) return
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -52,7 +52,7 @@
         }
 
     /** Whether bytes of the response were received. */
-    val hasResponseBegun: Boolean get() = lastReceivedMillis != null
+    val hasAnswerBegun: Boolean get() = lastReceivedMillis != null
 
     /** The time since the request was sent, in milliseconds. */
     val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
@@ -64,7 +64,7 @@
     private var lastReceivedMillis: Long? = null
 
     /** The time since bytes of the response were last received, or since the request was sent, in milliseconds. */
-    val silentMillis: Long get() = context.nowMillis() - (lastReceivedMillis ?: attempt.startedMillis)
+    val answerSilentMillis: Long get() = context.nowMillis() - (lastReceivedMillis ?: attempt.startedMillis)
 
     /**
      * Sends [head] with the body of the request. The upstream has [prefillTokens] prompt tokens to process, fewer if it
