Take an upstream that lost connections for reached by any request's bytes

A crashed upstream is still told by the first connection or probe that fails, which older attempts no longer undo: the case of DispatcherTest that joins probes with ejections failed without that. The case that asked for the attempt's own answer is replaced by two that fix both sides of the rule.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamHealth.kt
@@ -10,8 +10,8 @@
  * @property lastReceivedMillis when bytes were last received, in milliseconds of monotonic time
  * @property refusesUntilMillis when the upstream accepts requests again according to its last refusal, in milliseconds
  *   of monotonic time
- * @property hasBrokenOff whether the latest failure was an answer that had begun, of an attempt that started after
- *   [lastNotReachedMillis]: the upstream has been reached, and may answer the next request
+ * @property hasBrokenOff whether the latest failure was a lost connection of an attempt that began after
+ *   [lastNotReachedMillis] and since which the upstream has sent bytes: it may answer the next request
  * @property lastNotReachedMillis when an attempt last ended because the upstream could not be reached at its address, in
  *   milliseconds of monotonic time
  */
@@ -59,7 +59,7 @@
         AttemptEnd.BROKEN ->
             withFailureSample(1.0)
                 .let { if (it.isSuspect) it.ejected(nowMillis) else it.suspected(nowMillis) }
-                .copy(hasBrokenOff = hasReceivedBytes && startedMillis > lastNotReachedMillis)
+                .copy(hasBrokenOff = wasReached(startedMillis, hasReceivedBytes))
         AttemptEnd.SILENT ->
             if (lastReceivedMillis > startedMillis) {
                 withFailureSample(1.0)
@@ -68,9 +68,17 @@
             }
     }
 
+    /**
+     * Whether the upstream sent bytes, for any request, since an attempt began at [startedMillis], and was reached by all
+     * connections since. A connection that is lost before an answer begins says nothing of the next, unless it was a crash.
+     */
+    private fun wasReached(startedMillis: Long, hasReceivedBytes: Boolean): Boolean =
+        (hasReceivedBytes || lastReceivedMillis >= startedMillis) && startedMillis > lastNotReachedMillis
+
     /** Returns the health after a probe at [nowMillis] could not connect, whose result several attempts may report. */
     internal fun afterFailedProbe(nowMillis: Long): UpstreamHealth =
-        if (nowMillis < ejectedUntilMillis) copy(hasBrokenOff = false) else ejected(nowMillis)
+        (if (nowMillis < ejectedUntilMillis) copy(hasBrokenOff = false) else ejected(nowMillis))
+            .copy(lastNotReachedMillis = nowMillis)
 
     private fun withFailureSample(failure: Double): UpstreamHealth =
         copy(failureRate = failureRate + FAILURE_RATE_WEIGHT * (failure - failureRate))
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -54,9 +54,6 @@
     /** Whether bytes of the response were received. */
     val hasAnswerBegun: Boolean get() = lastReceivedMillis != null
 
-    /** The time since the request was sent, in milliseconds. */
-    val ageMillis: Long get() = context.nowMillis() - attempt.startedMillis
-
     /** Whether bytes of the response were received, malformed ones included. */
     private var hasReceivedBytes = false
 
