--- a/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/ListenAddress.kt
@@ -53,18 +53,14 @@
         }
     }
 
-    private fun isOver(
-        wait: ListenWait,
-        waitedMillis: Long,
-        address: InetSocketAddress,
-        failure: Exception,
-    ): Boolean = when (wait) {
-        is ListenWait.Bounded -> waitedMillis >= wait.maxMillis
-        ListenWait.UntilFree -> {
-            Termination.checkNotRequested()
-            waitedMillis >= MAX_WAIT_MILLIS && !(isInUse(address, failure) && isOfThisMachine(address))
+    private fun isOver(wait: ListenWait, waitedMillis: Long, address: InetSocketAddress, failure: Exception): Boolean =
+        when (wait) {
+            is ListenWait.Bounded -> waitedMillis >= wait.maxMillis
+            ListenWait.UntilFree -> {
+                Termination.checkNotRequested()
+                waitedMillis >= MAX_WAIT_MILLIS && !(isInUse(address, failure) && isOfThisMachine(address))
+            }
         }
-    }
 
     /**
      * Whether [failure] is for an address in use, and not for one that the process may not bind. The system may word its
