Cut long values in log lines

Lines wait in memory, up to 2,048 of them, while nobody reads the output, and callers decide how long a target is, upstreams how long a reason. A value is cut after 8,000 characters. EventFieldsTest (new case).

--- a/support/src/main/kotlin/marigoldward/support/log/EventFields.kt
+++ b/support/src/main/kotlin/marigoldward/support/log/EventFields.kt
@@ -4,9 +4,11 @@
 public class EventFields private constructor(event: String) {
     private val line = StringBuilder("event=").append(event)
 
-    /** Adds one pair; a null [value] is written as `none`. */
+    /** Adds one pair; a null [value] is written as `none`, and a long one is cut. */
     public fun field(key: String, value: Any?) {
-        line.append(' ').append(key).append('=').append(quoted(value?.toString() ?: "none"))
+        val text = value?.toString() ?: "none"
+        val shown = if (text.length <= MAX_VALUE_CHARS) text else text.take(MAX_VALUE_CHARS) + "..."
+        line.append(' ').append(key).append('=').append(quoted(shown))
     }
 
     internal fun toLine(): String = line.toString()
@@ -26,6 +28,9 @@
         character.isWhitespace() || character == '"' || character == '=' || character == '\\'
 
     internal companion object {
+        /** Callers and upstreams decide how long some values are; lines wait in memory until they are written. */
+        const val MAX_VALUE_CHARS: Int = 8_000
+
         fun fromEvent(event: String): EventFields = EventFields(event)
     }
 }
--- a/support/src/test/kotlin/marigoldward/support/log/EventFieldsTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/log/EventFieldsTest.kt
@@ -13,5 +13,13 @@
                 fields.field("nothing", null)
                 fields.toLine() shouldBe "event=applied revision=3 reason=\"two words\\nand \\\"more\\\"\" nothing=none"
             }
+            // Guards against lines whose length callers decide and that wait in memory to be written.
+            it("cuts long values") {
+                val fields = EventFields.fromEvent("rejected")
+                fields.field("target", "x".repeat(20_000))
+                fields.field("status", 404)
+                fields.toLine() shouldBe
+                    "event=rejected target=${"x".repeat(EventFields.MAX_VALUE_CHARS)}... status=404"
+            }
         }
     })
