Read JSON from outside within bounds, and keep processes that only read

What callers and operators saw: a keeper of the list that answered 200 with nested arrays ended all control instances and gateways with exit code 70 within two seconds, and again at each start. Requests were cut and no change was acknowledged.

Cause: the parser recurses for each bracket; the overflow of a stack is an Error, which DirectoryDuty didn't take for a failed reading, so that Duty halted the process. Class: input from outside decides how much stack or memory a decoder takes, and a thread that only reads halts the process.

Change: BoundedJson checks length, depth, values and fields of an object in one pass without recursion before the text is parsed, and reads all JSON from outside: the list, reports, handles, configurations, engines' answers, completions, the stand-in platform's list.

Why it works: no text within the bounds nests deeper than the parser's stack allows, and no text over them reaches the parser.

--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -138,17 +138,20 @@
         }
     }
 
-    /** Reads the status of [engine]. One that can't be handled is a failed reading, which must not end the process. */
+    /**
+     * Reads the status of [engine]. Whatever its answer does to the reading, an [Error] of the virtual machine included, is
+     * a failed reading, which must not end the process.
+     */
     private fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> = try {
         engines.readStatus(engine)
-    } catch (failure: Exception) {
+    } catch (failure: Throwable) {
         EngineControl.Reply(Outcome.Failure(failure.toString()), isLeaving = false)
     }
 
-    /** Sends [order]. An exception must not end the process; it doesn't tell whether the order was sent. */
+    /** Sends [order]. A failure of any kind must not end the process; it doesn't tell whether the order was sent. */
     private fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> = try {
         engines.send(order)
-    } catch (failure: Exception) {
+    } catch (failure: Throwable) {
         EngineControl.Reply(EngineControl.OrderResult.Unknown(failure.toString()), isLeaving = false)
     }
 
--- a/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/platform/UpstreamListReader.kt
@@ -1,6 +1,6 @@
 package marigoldward.controller.platform
 
-import kotlinx.serialization.SerializationException
+import marigoldward.core.getOrNull
 import marigoldward.core.serving.UpstreamInfo
 import marigoldward.support.http.boundedText
 import marigoldward.support.net.OutgoingSocket
@@ -26,12 +26,10 @@
     fun read(): List<UpstreamInfo> {
         try {
             client.newCall(request).execute().use { response ->
-                lastRead = PlatformListing.parse(response.boundedText())
+                PlatformListing.parse(response.boundedText()).getOrNull()?.let { lastRead = it }
             }
         } catch (_: IOException) {
             return lastRead
-        } catch (_: SerializationException) {
-            return lastRead
         }
         return lastRead
     }
--- a/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
+++ b/controller/src/main/kotlin/marigoldward/controller/upstream/EngineControlClient.kt
@@ -1,12 +1,14 @@
 package marigoldward.controller.upstream
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import marigoldward.core.commanding.ReportedEngineState
 import marigoldward.core.control.CommandIntent
 import marigoldward.core.control.EngineCommand
+import marigoldward.core.getOrNull
 import marigoldward.core.model.EngineRole
 import marigoldward.support.http.boundedText
+import marigoldward.support.json.BoundedJson
+import marigoldward.support.json.JsonBounds
 import marigoldward.support.net.OutgoingSocket
 import okhttp3.ConnectionPool
 import okhttp3.Interceptor
@@ -62,12 +64,10 @@
         val request = Request.Builder().url("http://$address/engine/state").build()
         stateClient.newCall(request).execute().use { response ->
             val text = response.boundedText()
-            toReportedState(json.decodeFromString(EngineStateMessage.serializer(), text))
+            answerJson.read(EngineStateMessage.serializer(), text).getOrNull()?.let(::toReportedState)
         }
     } catch (_: IOException) {
         null
-    } catch (_: SerializationException) {
-        null
     }
 
     /** Sends [command], with the id and the fencing token of [intent], to the engine at [address]. */
@@ -77,12 +77,11 @@
             Request.Builder().url("http://$address/engine/commands").post(body.toRequestBody(JSON_MEDIA_TYPE)).build()
         commandClient.newCall(request).execute().use { response ->
             val text = response.boundedText()
-            toSendResult(json.decodeFromString(EngineCommandAnswer.serializer(), text))
+            val answer = answerJson.read(EngineCommandAnswer.serializer(), text).getOrNull()
+            if (answer == null) SendResult.UNKNOWN else toSendResult(answer)
         }
     } catch (_: IOException) {
         SendResult.UNKNOWN
-    } catch (_: SerializationException) {
-        SendResult.UNKNOWN
     }
 
     override fun close() {
@@ -125,9 +124,8 @@
         /** How long a call to an engine may take. */
         const val COMMAND_TIMEOUT_MILLIS: Long = 1_000
         private val JSON_MEDIA_TYPE = "application/json".toMediaType()
-        private val json = Json {
-            ignoreUnknownKeys = true
-            encodeDefaults = false
-        }
+        private val json = Json { encodeDefaults = false }
+        private val answerJson =
+            BoundedJson.within(JsonBounds(maxBytes = 1_024 * 1_024, maxDepth = 16, maxValues = 100_000))
     }
 }
--- a/entry/src/main/kotlin/marigoldward/entry/caller/CompletionCall.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/caller/CompletionCall.kt
@@ -1,7 +1,5 @@
 package marigoldward.entry.caller
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -9,6 +7,8 @@
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.longOrNull
 import marigoldward.core.Outcome
+import marigoldward.support.json.BoundedJson
+import marigoldward.support.json.JsonBounds
 
 /**
  * A valid request for a completion.
@@ -28,16 +28,20 @@
     companion object {
         private const val DEFAULT_MAX_TOKENS = 16L
         private const val BAD_REQUEST = 400
+        private const val MAX_BODY_BYTES = 64 * 1_024 * 1_024
+
+        /** Allows for schemas of tools, which nest a few dozen deep. */
+        private const val MAX_DEPTH = 128
+        private const val MAX_VALUES = 200_000
+        private val json = BoundedJson.within(JsonBounds(MAX_BODY_BYTES, MAX_DEPTH, MAX_VALUES))
 
         /** Parses the JSON [text]; the problem names the field that is not valid. */
         fun parse(api: CompletionApi, text: String, maxOutputTokens: Long): Outcome<CompletionCall, RequestProblem> {
-            val body =
-                try {
-                    Json.parseToJsonElement(text) as? JsonObject
-                        ?: return invalid("body", "the body is not a JSON object")
-                } catch (failure: SerializationException) {
-                    return invalid("body", "the body is not JSON: ${failure.message?.lineSequence()?.first()}")
-                }
+            val body = when (val tree = json.readTree(text)) {
+                is Outcome.Failure -> return invalid("body", "the body is not JSON: ${tree.error}")
+                is Outcome.Success ->
+                    tree.value as? JsonObject ?: return invalid("body", "the body is not a JSON object")
+            }
             val model = textOrNull(body["model"]) ?: return invalid("model", "field \"model\" is not a text")
             val prompt = when (api) {
                 CompletionApi.CHAT -> chatPromptOrNull(body["messages"])
--- a/entry/src/main/kotlin/marigoldward/entry/platform/UpstreamListPoller.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/platform/UpstreamListPoller.kt
@@ -1,6 +1,6 @@
 package marigoldward.entry.platform
 
-import kotlinx.serialization.SerializationException
+import marigoldward.core.Outcome
 import marigoldward.entry.serving.ServingLoop
 import marigoldward.entry.serving.ServingLoopEvent
 import marigoldward.entry.upstream.UpstreamClients
@@ -26,17 +26,18 @@
             clients.forPolling().newCall(request).execute().use { response ->
                 val text = response.boundedText()
                 if (!response.isSuccessful) throw IOException("status ${response.code}")
-                servingLoop.put(ServingLoopEvent.UpstreamsListed(PlatformListing.parse(text)))
+                when (val list = PlatformListing.parse(text)) {
+                    is Outcome.Failure -> return logFailure(list.error)
+                    is Outcome.Success -> servingLoop.put(ServingLoopEvent.UpstreamsListed(list.value))
+                }
             }
             hasFailed = false
         } catch (failure: IOException) {
             logFailure(failure)
-        } catch (failure: SerializationException) {
-            logFailure(failure)
         }
     }
 
-    private fun logFailure(failure: Exception) {
+    private fun logFailure(failure: Any) {
         if (hasFailed) return
         hasFailed = true
         log.warn("list_not_read") { field("error", failure) }
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/CrashDetector.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/CrashDetector.kt
@@ -1,7 +1,6 @@
 package marigoldward.entry.upstream
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import marigoldward.core.getOrNull
 import marigoldward.core.serving.UpstreamInfo
 import marigoldward.support.http.boundedText
 import java.io.IOException
@@ -15,8 +14,6 @@
  * upstream that seems to run is asked several times.
  */
 internal class CrashDetector(private val clients: UpstreamClients, private val incarnations: KnownIncarnations) {
-    private val json = Json { ignoreUnknownKeys = true }
-
     /** Returns whether [upstream] has crashed, after at most [MAX_CHECKS] checks. */
     fun hasCrashed(upstream: UpstreamInfo): Boolean {
         val lastKnown = incarnations.lastKnownOrNull(upstream.id)
@@ -31,15 +28,13 @@
         val request = UpstreamClients.get(upstream.address, "/engine/state")
         clients.forPolling().newCall(request).execute().use { response ->
             val text = response.boundedText()
-            val current = json.decodeFromString(EngineStateMessage.serializer(), text).incarnation
-            lastKnown != null && lastKnown != current
+            val current = EngineMessageJson.read(EngineStateMessage.serializer(), text).getOrNull()?.incarnation
+            lastKnown != null && current != null && lastKnown != current
         }
     } catch (_: ConnectException) {
         true
     } catch (_: IOException) {
         false
-    } catch (_: SerializationException) {
-        false
     }
 
     private companion object {
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineAnswer.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineAnswer.kt
@@ -1,7 +1,6 @@
 package marigoldward.entry.upstream
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import marigoldward.core.getOrNull
 import marigoldward.core.model.RequestId
 import okhttp3.Call
 import okhttp3.Response
@@ -63,11 +62,8 @@
             return if (hasFinishReason) Part.End else Part.Broken("the answer ended without a finish reason")
         }
         val chunk =
-            try {
-                json.decodeFromString(ChunkMessage.serializer(), data)
-            } catch (_: SerializationException) {
-                return Part.Broken("an event of the answer is not valid")
-            }
+            EngineMessageJson.read(ChunkMessage.serializer(), data).getOrNull()
+                ?: return Part.Broken("an event of the answer is not valid")
         return when {
             chunk.id != id.text -> drop("crossed")
             chunk.tokenIndex < nextTokenIndex -> drop("doubled")
@@ -89,6 +85,5 @@
         const val DATA_PREFIX = "data: "
         const val DONE = "[DONE]"
         const val MAX_LINE_BYTES = 1024L * 1024
-        val json = Json { ignoreUnknownKeys = true }
     }
 }
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineClient.kt
@@ -1,6 +1,5 @@
 package marigoldward.entry.upstream
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -127,20 +126,19 @@
         return AttemptFailure.Broken(reason, crashDetector.hasCrashed(engine))
     }
 
-    private fun readKvHandle(response: Response, id: RequestId): Outcome<String, AttemptFailure> = try {
-        val message = json.decodeFromString(PrefillMessage.serializer(), response.boundedText())
-        if (message.id == id.text) {
-            Outcome.Success(message.kvHandle)
-        } else {
-            Outcome.Failure(AttemptFailure.Broken("the answer is for request ${message.id}", isCrash = false))
+    private fun readKvHandle(response: Response, id: RequestId): Outcome<String, AttemptFailure> {
+        val problem = when (val read = EngineMessageJson.read(PrefillMessage.serializer(), response.boundedText())) {
+            is Outcome.Failure -> "the answer is not valid: ${read.error}"
+            is Outcome.Success -> {
+                if (read.value.id == id.text) return Outcome.Success(read.value.kvHandle)
+                "the answer is for request ${read.value.id}"
+            }
         }
-    } catch (failure: SerializationException) {
-        Outcome.Failure(AttemptFailure.Broken("the answer is not valid: ${failure.message}", isCrash = false))
+        return Outcome.Failure(AttemptFailure.Broken(problem, isCrash = false))
     }
 
     private companion object {
         const val MIN_SERVER_ERROR_STATUS = 500
         val JSON_MEDIA_TYPE = "application/json".toMediaType()
-        val json = Json { ignoreUnknownKeys = true }
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineMessageJson.kt
@@ -0,0 +1,19 @@
+package marigoldward.entry.upstream
+
+import kotlinx.serialization.DeserializationStrategy
+import marigoldward.core.Outcome
+import marigoldward.support.json.BoundedJson
+import marigoldward.support.json.JsonBounds
+import marigoldward.support.json.JsonProblem
+
+/** Reads the JSON messages of engines. */
+internal object EngineMessageJson {
+    private const val MAX_BYTES = 4 * 1_024 * 1_024
+    private const val MAX_DEPTH = 16
+    private const val MAX_VALUES = 200_000
+    private val json = BoundedJson.within(JsonBounds(MAX_BYTES, MAX_DEPTH, MAX_VALUES))
+
+    /** Returns the message in [text], or why it can't be read. */
+    fun <T> read(deserializer: DeserializationStrategy<T>, text: String): Outcome<T, JsonProblem> =
+        json.read(deserializer, text)
+}
--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EnginePoller.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EnginePoller.kt
@@ -1,8 +1,7 @@
 package marigoldward.entry.upstream
 
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import marigoldward.core.config.SiteConfiguration
+import marigoldward.core.getOrNull
 import marigoldward.core.model.EngineRole
 import marigoldward.core.model.UpstreamId
 import marigoldward.core.model.UpstreamKind
@@ -24,7 +23,6 @@
     private val incarnations: KnownIncarnations,
     private val currentConfiguration: () -> SiteConfiguration?,
 ) {
-    private val json = Json { ignoreUnknownKeys = true }
     private val loadPollsInFlight = ConcurrentHashMap.newKeySet<UpstreamId>()
     private val nextCacheEventSequences = ConcurrentHashMap<UpstreamId, Long>()
 
@@ -59,8 +57,9 @@
         return servingLoop.upstreams.values.filter { it.pool in poolNames }
     }
 
-    private fun reportLoad(engine: UpstreamInfo, text: String) {
-        val load = json.decodeFromString(EngineLoadMessage.serializer(), text)
+    /** Reports the load in [text], or returns false if it can't be read. */
+    private fun reportLoad(engine: UpstreamInfo, text: String): Boolean {
+        val load = EngineMessageJson.read(EngineLoadMessage.serializer(), text).getOrNull() ?: return false
         incarnations.record(engine.id, load.incarnation)
         val report =
             LoadReport(
@@ -72,17 +71,22 @@
                 incarnation = load.incarnation,
             )
         servingLoop.put(ServingEvent.LoadReported(engine.id, report))
+        return true
     }
 
-    private fun reportCacheChanges(engine: UpstreamInfo, text: String) {
-        val events = json.decodeFromString(CacheEventsMessage.serializer(), text).events
-        val last = events.lastOrNull() ?: return
+    /** Reports the changes in [text], or returns false if they can't be read. */
+    private fun reportCacheChanges(engine: UpstreamInfo, text: String): Boolean {
+        val message = EngineMessageJson.read(CacheEventsMessage.serializer(), text).getOrNull() ?: return false
+        val events = message.events
+        val last = events.lastOrNull() ?: return true
         nextCacheEventSequences[engine.id] = last.sequence + 1
         val (stored, evicted) = events.partition { it.kind == "stored" }
         servingLoop.put(ServingEvent.CacheChanged(engine.id, stored.map { it.pieceHash }, evicted.map { it.pieceHash }))
+        return true
     }
 
-    private fun callback(onText: (String) -> Unit, onFailure: () -> Unit, onEnd: () -> Unit): Callback =
+    /** @param onText handles the body of a success, or returns false if it can't be read */
+    private fun callback(onText: (String) -> Boolean, onFailure: () -> Unit, onEnd: () -> Unit): Callback =
         object : Callback {
             override fun onFailure(call: Call, e: IOException) {
                 onEnd()
@@ -93,11 +97,9 @@
                 onEnd()
                 try {
                     val text = response.use { it.boundedText() }
-                    if (response.isSuccessful) onText(text) else onFailure()
+                    if (!response.isSuccessful || !onText(text)) onFailure()
                 } catch (_: IOException) {
                     onFailure()
-                } catch (_: SerializationException) {
-                    onFailure()
                 }
             }
         }
--- /dev/null
+++ b/support/src/main/kotlin/marigoldward/support/json/JsonBounds.kt
@@ -0,0 +1,36 @@
+package marigoldward.support.json
+
+/**
+ * What a JSON text from outside may ask of its reader.
+ *
+ * @property maxBytes the greatest length in bytes
+ * @property maxDepth the greatest number of arrays and objects that enclose each other
+ * @property maxValues the greatest number of values, those below [maxDepth] left out: elements of arrays, fields of
+ *   objects, and the text as a whole
+ * @property maxFields the greatest number of fields of one object
+ * @property deepValues what becomes of an array or object below [maxDepth]
+ * @throws IllegalArgumentException if a bound is not positive
+ */
+public data class JsonBounds(
+    val maxBytes: Int,
+    val maxDepth: Int,
+    val maxValues: Int,
+    val maxFields: Int = maxValues,
+    val deepValues: DeepValues = DeepValues.REFUSED,
+) {
+    init {
+        require(maxBytes > 0) { "maxBytes is $maxBytes" }
+        require(maxDepth > 0) { "maxDepth is $maxDepth" }
+        require(maxValues > 0) { "maxValues is $maxValues" }
+        require(maxFields > 0) { "maxFields is $maxFields" }
+    }
+
+    /** The treatment of arrays and objects that are nested too deeply. */
+    public enum class DeepValues {
+        /** The whole text is refused. */
+        REFUSED,
+
+        /** Such a value is read as `null`, without a tree of it, and the others are kept. */
+        READ_AS_NULL,
+    }
+}
--- a/support/src/main/kotlin/marigoldward/support/platform/PlatformListing.kt
+++ b/support/src/main/kotlin/marigoldward/support/platform/PlatformListing.kt
@@ -2,12 +2,15 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import marigoldward.core.Outcome
+import marigoldward.core.flatMap
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
 import marigoldward.core.model.UpstreamId
 import marigoldward.core.serving.UpstreamInfo
+import marigoldward.support.json.BoundedJson
+import marigoldward.support.json.JsonBounds
+import marigoldward.support.json.JsonProblem
 import marigoldward.support.log.EventLog
 import marigoldward.support.settings.parseAddressOrNull
 import marigoldward.support.settings.toText
@@ -15,7 +18,8 @@
 /** Parses the platform's list of instances, which `GET /v1/instances` returns. */
 public object PlatformListing {
     private const val LIVE = "live"
-    private val json = Json { ignoreUnknownKeys = true }
+    private val json =
+        BoundedJson.within(JsonBounds(maxBytes = 4 * 1_024 * 1_024, maxDepth = 16, maxValues = 200_000))
     private val log = EventLog.fromName("platform")
 
     @Serializable
@@ -31,12 +35,18 @@
     )
 
     /**
-     * Returns the upstreams of the list in [text]. An invalid entry is logged and left out.
-     *
-     * @throws SerializationException if [text] is not such a list
+     * Returns the upstreams of the list in [text], or why it can't be read. An invalid entry is logged and left out; a list
+     * of which no entry is valid can't be read.
      */
-    public fun parse(text: String): List<UpstreamInfo> =
-        json.decodeFromString(ListMessage.serializer(), text).instances.mapNotNull(::toInfoOrNull)
+    public fun parse(text: String): Outcome<List<UpstreamInfo>, JsonProblem> =
+        json.read(ListMessage.serializer(), text).flatMap { message ->
+            val upstreams = message.instances.mapNotNull(::toInfoOrNull)
+            if (upstreams.isEmpty() && message.instances.isNotEmpty()) {
+                Outcome.Failure(JsonProblem.Malformed("none of ${message.instances.size} entries is valid"))
+            } else {
+                Outcome.Success(upstreams)
+            }
+        }
 
     private fun toInfoOrNull(message: InstanceMessage): UpstreamInfo? {
         val id = UpstreamId.parseOrNull(message.id)
