Keep accepting connections when the log of a failed accept needs a descriptor

Cause: a failed accept is logged. The first use of the logging loads classes, which needs a descriptor where they lie in a folder or in an archive that is not open yet. The NoClassDefFoundError ended the accept loop of the gRPC server. The test met it only if the first connection was closed before the descriptors were taken; else the two descriptors of that connection served for the next accept, and the test passed without a shortage.

Change: an error of linking in that log doesn't end the loop.

--- a/wire/src/main/kotlin/marigoldward/wire/rpc/PersistentServerSocket.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/rpc/PersistentServerSocket.kt
@@ -22,13 +22,19 @@
                 return super.accept().also { isFailing = false }
             } catch (failure: IOException) {
                 if (isClosed) throw failure
-                if (!isFailing) log.warn("accept_failed") { field("reason", failure) }
+                if (!isFailing) log(failure)
                 isFailing = true
             }
             Thread.sleep(RETRY_MILLIS)
         }
     }
 
+    private fun log(failure: IOException) = try {
+        log.warn("accept_failed") { field("reason", failure) }
+    } catch (_: LinkageError) {
+        // A class that is used for the first time may need a descriptor too.
+    }
+
     /** Creates the sockets. */
     object Factory : ServerSocketFactory() {
         override fun createServerSocket(): ServerSocket = PersistentServerSocket()
