Stop listening for readiness and metrics when a gateway is closed

What callers saw: a process that closes a gateway and starts another at the same addresses found those for readiness and metrics in use until its end.

Cause: GatewayProgram.close ended only the listener for callers.

Change: it ends all three, those for readiness and metrics last, as checks and metrics are wanted during the shutdown. A metrics listener that still waits for its address is ended when it gets it.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -84,6 +84,7 @@
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private var isShuttingDown = false
+    private var isClosed = false
 
     @Volatile
     private var seeds = settings.cluster.seedInstances
@@ -102,12 +103,19 @@
     /**
      * Shuts down without interrupting requests. Reports that the gateway is not ready and closes each connection after
      * its next response; later closes the idle connections too. Accepts connections until the requests in progress have
-     * ended or the grace period is nearly over.
+     * ended or the grace period is nearly over. After that, listens at none of its addresses.
      */
     override fun close() {
         loop.execute { isShuttingDown = true }
         GracefulShutdown(loop, callerServer, gateway, settings.gracePeriodMillis).run()
-        loop.execute(feed::close)
+        loop.execute {
+            feed.close()
+            isClosed = true
+            readinessServer.stop()
+            metricsServer.stop()
+        }
+        // The loop closes the sockets of the system when it has looked for events after that.
+        loop.schedule({}, 1, TimeUnit.MILLISECONDS).await(LOOP_CALL_TIMEOUT_MILLIS)
     }
 
     private fun start() {
@@ -131,6 +139,7 @@
         } catch (_: BindException) {
             thread(name = "metrics-address", isDaemon = true) {
                 runCatching { metricsServer.start(address, ListenWait.UntilFree) }
+                    .onSuccess { loop.execute { if (isClosed) metricsServer.stop() } }
                     .onFailure { failure -> log.warn("metrics_not_served") { field("reason", failure) } }
             }
         }
@@ -246,6 +255,7 @@
         private const val UNAVAILABLE = 503
         private const val TEXT = "text/plain"
         private const val MILLIS_PER_SECOND = 1_000.0
+        private const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
         private const val FEED_CHECK_INTERVAL_MILLIS = 200L
         private const val DIRECTORY_CHECK_INTERVAL_MILLIS = 300L
         private const val POOL_CHECK_INTERVAL_MILLIS = 500L
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/StatusServer.kt
@@ -17,6 +17,13 @@
     /** Starts to listen at [address]; returns when the address is bound. */
     fun start(address: InetSocketAddress, wait: ListenWait) = server.start(address, wait)
 
+    /** Accepts no more connections and closes those that are idle. */
+    fun stop() {
+        server.stopListening()
+        server.isDraining = true
+        server.closeIdle()
+    }
+
     private fun respond(exchange: CallerExchange) {
         val page = currentPage()
         val head = ResponseHead(page.status, Headers.of("Content-Type" to page.contentType))
