Bound what a compressed route configuration may expand to

Callers saw nothing so far: a control instance compresses only what an operator could send. But each entry, each control instance that is asked for the configuration and each replica that compares two documents of one version decompressed whatever a document held, however long: a few hundred kilobytes that expand to gigabytes would have taken all the heap, and in a replica again at each start, as the log is applied again.

Content is now read up to RouteDocument.MAX_CONTENT_BYTES, 20 MiB: the 16 MiB that the operator's API accepts and a quarter more. Beyond it, an entry keeps the configuration in force and logs the document as unreadable, a control instance answers as if it didn't know the configuration (503) where the exception used to end the request, and two documents that differ in their compressed bytes count as different.

--- a/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
+++ b/control/src/main/kotlin/marigoldward/control/routes/RouteStore.kt
@@ -13,6 +13,7 @@
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
 import marigoldward.wire.control.SubmitReply
+import java.io.IOException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
@@ -51,11 +52,20 @@
         return when (val read = await(answer)) {
             null -> RouteReadResult.Unknown
             is RoutesReply.NotLeader -> RouteReadResult.NotLeader(read.leader ?: presumedLeader())
-            is RoutesReply.Current ->
-                RouteReadResult.Current(read.document?.let { Gzip.decompress(it.compressed) })
+            is RoutesReply.Current -> read.document?.let(::contentOf) ?: RouteReadResult.Current(null)
         }
     }
 
+    private fun contentOf(document: RouteDocument): RouteReadResult = try {
+        RouteReadResult.Current(Gzip.decompress(document.compressed, RouteDocument.MAX_CONTENT_BYTES))
+    } catch (failure: IOException) {
+        log.warn("configuration_unreadable") {
+            field("version", document.version)
+            field("reason", failure.message)
+        }
+        RouteReadResult.Unknown
+    }
+
     private fun submit(document: RouteDocument): RouteStoreResult {
         val answer = CompletableFuture<SubmitReply>()
         val command = ControlCommand.StoreRoutes(document)
--- a/core/src/main/kotlin/marigoldward/core/routes/RouteDocument.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/RouteDocument.kt
@@ -21,7 +21,8 @@
 
     /**
      * Whether [other] has the same version and the same submitted bytes. These may have been compressed by different
-     * versions of the compressor, whose results differ.
+     * versions of the compressor, whose results differ. False if the compressed bytes differ and those of this document
+     * are damaged or expand to more than [MAX_CONTENT_BYTES].
      */
     public fun hasSameContentAs(other: RouteDocument): Boolean {
         if (version != other.version || compressed.contentEquals(other.compressed)) return this == other
@@ -30,7 +31,9 @@
     }
 
     private fun decompressedOrNull(): ByteArray? = try {
-        GZIPInputStream(ByteArrayInputStream(compressed)).use { it.readBytes() }
+        GZIPInputStream(ByteArrayInputStream(compressed))
+            .use { it.readNBytes(MAX_CONTENT_BYTES + 1) }
+            .takeIf { it.size <= MAX_CONTENT_BYTES }
     } catch (_: IOException) {
         null
     }
@@ -38,7 +41,10 @@
     /** Returns the version and the compressed size. */
     override fun toString(): String = "RouteDocument(version=$version, bytes=${compressed.size})"
 
-    private companion object {
-        const val HASH_FACTOR = 31
+    /** Holds the limit of the size. */
+    public companion object {
+        /** The maximum size of the submitted bytes: the 16 MiB that the operator's API accepts, and a quarter more. */
+        public const val MAX_CONTENT_BYTES: Int = 20_971_520
+        private const val HASH_FACTOR = 31
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/RouteSelection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/RouteSelection.kt
@@ -91,7 +91,7 @@
     }
 
     private fun decompress(document: RouteDocument): Outcome<ByteArray, String> = try {
-        Outcome.Success(Gzip.decompress(document.compressed))
+        Outcome.Success(Gzip.decompress(document.compressed, RouteDocument.MAX_CONTENT_BYTES))
     } catch (failure: IOException) {
         Outcome.Failure("the document is damaged: ${failure.message}")
     }
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/RouteSelectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/RouteSelectionTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import marigoldward.core.Outcome
 import marigoldward.core.flatMap
@@ -76,6 +77,14 @@
                         .version shouldBe 2
                     selection.unreadableVersion shouldBe 2
                 }
+                // Guards against a small document that takes all the heap of each entry that it is sent to.
+                it("doesn't decompress one that is longer than any that is stored") {
+                    val selection = RouteSelection(READER, startedMillis = 0)
+                    val content = ByteArray(RouteDocument.MAX_CONTENT_BYTES + 1)
+                    selection.considerOrNull(RouteDocument(2, Gzip.compress(content)), isFresh = true, 20)
+                        .shouldBeInstanceOf<RouteSelection.Selection.Unreadable>()
+                        .problem shouldContain "longer than"
+                }
                 it("reads it again when it is sent again") {
                     val selection = RouteSelection(READER, startedMillis = 0)
                     selection.considerOrNull(document(2, "damaged"), isFresh = true, 10)
--- a/support/src/main/kotlin/marigoldward/support/bytes/Gzip.kt
+++ b/support/src/main/kotlin/marigoldward/support/bytes/Gzip.kt
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.util.zip.GZIPInputStream
 import java.util.zip.GZIPOutputStream
 
@@ -15,10 +16,15 @@
     }
 
     /**
-     * Returns the content of [compressed].
+     * Returns the content of [compressed]. Stops to decompress as soon as the content is longer than [maxBytes].
      *
-     * @throws java.io.IOException if [compressed] is not valid gzip data
+     * @throws IOException if [compressed] is not valid gzip data or its content is longer than [maxBytes]
+     * @throws IllegalArgumentException if [maxBytes] is negative or [Int.MAX_VALUE]
      */
-    public fun decompress(compressed: ByteArray): ByteArray =
-        GZIPInputStream(ByteArrayInputStream(compressed)).use { it.readBytes() }
+    public fun decompress(compressed: ByteArray, maxBytes: Int): ByteArray {
+        require(maxBytes in 0..<Int.MAX_VALUE) { "maxBytes is $maxBytes" }
+        val content = GZIPInputStream(ByteArrayInputStream(compressed)).use { it.readNBytes(maxBytes + 1) }
+        if (content.size > maxBytes) throw IOException("the content is longer than $maxBytes bytes")
+        return content
+    }
 }
