Ignore reported loads and token counts that can't be

Headers of callers and engines and reports of engines reach the placement as numbers of any size. No exception was found, but sums overflowed and negative numbers counted: an engine that reported -2,147,483,648 waiting requests got all of 50 requests beside an idle one, one with 2,147,483,647 running and one waiting as many as the idle one; the fullest engine looked least busy to the planner of stages, which changed its stage; the tokens of a long prompt counted as a negative number of steps.

Token counts are added as Long; negative ones count as 0.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -200,11 +200,12 @@
 
     /**
      * Records that bytes were received from [upstream] at [nowMillis]; [load] is the load it reported, or null if none.
+     * A load that no upstream can have is ignored.
      */
     public fun recordReceived(upstream: UpstreamId, load: ReportedLoad?, nowMillis: Long) {
         update(upstream) { record ->
             val received = record.copy(health = record.health.copy(lastReceivedMillis = nowMillis))
-            if (load == null) {
+            if (load == null || !load.isPlausible) {
                 received
             } else {
                 received.copy(report = load, reportMillis = nowMillis, ownAttemptsAtReport = record.attempts.size)
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
@@ -12,7 +12,8 @@
     private val nowMillis: Long,
 ) {
     private val prompt = request.prompt
-    private val cacheGigabytes = prompt.promptTokens.toDouble() * request.engine.kvBytesPerToken / BYTES_PER_GIGABYTE
+    private val cacheGigabytes =
+        maxOf(0, prompt.promptTokens).toDouble() * request.engine.kvBytesPerToken / BYTES_PER_GIGABYTE
     private val cacheTransferMillis =
         cacheGigabytes * BYTES_PER_GIGABYTE /
             (maxOf(1.0, request.engine.linkMegabitsPerSecond) * BYTES_PER_MILLI_AT_MEGABIT_RATE)
@@ -112,10 +113,13 @@
      */
     private fun disturbancePrice(decodeEngine: UpstreamRecord, tokens: Int): Double {
         val ownSteps =
-            decodeEngine.attempts.values.sumOf { if (it.isPrefillPending) prefillSteps(it.prefillTokens) else 0 }
+            decodeEngine.attempts.values.sumOf {
+                if (it.isPrefillPending) prefillSteps(it.prefillTokens).toLong() else 0L
+            }
         val eventMillis = request.engine.tokensPerEvent * costs.decodeStepMillis
         val steps =
-            minOf(request.engine.tokensPerEvent, ownSteps + prefillSteps(tokens)) + otherStepsPerMilli * eventMillis
+            minOf(request.engine.tokensPerEvent.toLong(), ownSteps + prefillSteps(tokens)) +
+                otherStepsPerMilli * eventMillis
         val pauseMillis = eventMillis + steps * costs.decodeStagePrefillFactor * costs.prefillMillis(TOKENS_PER_STEP)
         val streams = maxOf(decodeEngine.requestCount(nowMillis), MIN_ASSUMED_STREAMS)
         return costs.disturbancePrice + streams * costs.pausePrice(pauseMillis, request.maxPauseMillis)
@@ -124,7 +128,7 @@
     /** Returns the price of the shared tokens that are processed although some engine probably has them cached. */
     private fun repeatedPrefillPrice(tokens: Int): Double {
         val ownTokens = prompt.promptTokens - prompt.sharedPrefixTokens
-        return maxOf(0, tokens - ownTokens) * costs.repeatedPrefillPrice / TOKENS_PER_PRICE_UNIT
+        return maxOf(0L, tokens - ownTokens) * costs.repeatedPrefillPrice / TOKENS_PER_PRICE_UNIT
     }
 
     private fun reliabilityPrice(record: UpstreamRecord): Double = record.health.failureRate * costs.failurePrice +
@@ -138,7 +142,7 @@
 
     companion object {
         /** Returns the number of steps in which an engine in the decode stage processes [tokens] prompt tokens. */
-        fun prefillSteps(tokens: Int): Int = (tokens + TOKENS_PER_STEP - 1) / TOKENS_PER_STEP
+        fun prefillSteps(tokens: Int): Int = if (tokens <= 0) 0 else (tokens - 1) / TOKENS_PER_STEP + 1
 
         private const val TOKENS_PER_PRICE_UNIT = 1_000.0
         private const val BYTES_PER_GIGABYTE = 1e9
--- a/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/PlacementCosts.kt
@@ -51,10 +51,10 @@
 ) {
     /**
      * Returns the time in which an engine in the prefill stage processes the last [tokens] tokens of a prompt of
-     * [promptTokens].
+     * [promptTokens], or of [tokens] if that is more.
      */
-    public fun prefillMillis(tokens: Int, promptTokens: Int = tokens): Double =
-        tokens / prefillTokensPerMilli + attentionMillisPerMegapair * tokens * promptTokens / PAIRS_PER_MEGAPAIR
+    public fun prefillMillis(tokens: Int, promptTokens: Int = tokens): Double = tokens / prefillTokensPerMilli +
+        attentionMillisPerMegapair * tokens * maxOf(tokens, promptTokens) / PAIRS_PER_MEGAPAIR
 
     /**
      * Returns the expected loss if the first event is expected after [expectedMillis], should come within
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Prompt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Prompt.kt
@@ -21,8 +21,8 @@
     /** The parts that other requests may share: all but the last. */
     val sharedParts: List<PromptPart> get() = parts.dropLast(1)
 
-    /** The number of tokens of the longest prefix that other requests may share. */
-    val sharedPrefixTokens: Int get() = sharedParts.sumOf { it.tokens }
+    /** The number of tokens of the longest prefix that other requests may share. Negative counts of parts are 0. */
+    val sharedPrefixTokens: Long get() = sharedParts.sumOf { maxOf(0, it.tokens).toLong() }
 
     private fun hash(id: String): Long = Hashing.komihash5_0().hashCharsToLong(id)
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -29,7 +29,7 @@
             copy(
                 prefillQueue = movingAverage(
                     prefillQueue,
-                    prefillEngines.map { (it.running + it.waiting).toDouble() }.averageOrZero(),
+                    prefillEngines.map { requests(it).toDouble() }.averageOrZero(),
                 ),
                 decodeLoad = movingAverage(decodeLoad, decodeEngines.map(::usedFraction).averageOrZero()),
             )
@@ -154,7 +154,7 @@
         statuses.all { it.orderSequence == 0L && it.running == 0 && it.waiting == 0 && it.kvUsedFraction == 0.0 }
 
     private fun usedFraction(status: EngineStatus): Double =
-        maxOf(status.kvUsedFraction, (status.running + status.waiting).toDouble() / maxOf(1, status.engine.slots))
+        maxOf(status.kvUsedFraction, requests(status).toDouble() / maxOf(1, status.engine.slots))
 
     private fun movingAverage(previous: Double, current: Double): Double =
         previous + AVERAGE_WEIGHT * (current - previous)
@@ -164,7 +164,7 @@
     /** Creates planners. */
     public companion object {
         private val LEAST_BUSY_FIRST: Comparator<EngineStatus> =
-            compareBy<EngineStatus> { it.running + it.waiting }.thenBy { it.engine.id.text }
+            compareBy<EngineStatus>(::requests).thenBy { it.engine.id.text }
 
         /** Weight of the newest observation: the average covers three or four. */
         private const val AVERAGE_WEIGHT = 0.4
@@ -199,5 +199,8 @@
 
         /** The state before the first observation. */
         public val INITIAL: StagePlanner = StagePlanner(0.0, 0.0, Long.MIN_VALUE)
+
+        /** Returns the number of requests that an engine runs or that wait for it. */
+        private fun requests(status: EngineStatus): Long = status.running.toLong() + status.waiting
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -24,7 +24,8 @@
     val prefixUses: PersistentMap<Long, PrefixUse>,
 ) {
     /** The prompt tokens that the upstream has still to process for the gateway's attempts. */
-    val ownPendingPrefillTokens: Int get() = attempts.values.sumOf { if (it.isPromptPending) it.prefillTokens else 0 }
+    val ownPendingPrefillTokens: Long
+        get() = attempts.values.sumOf { if (it.isPromptPending) it.prefillTokens.toLong() else 0L }
 
     /** The number of the gateway's attempts whose KV cache has not been received yet. */
     val ownPendingCacheTransfers: Int get() = attempts.values.count { it.isPromptPending && it.isCacheTransfer }
@@ -77,8 +78,8 @@
     public fun prefillTokens(prompt: Prompt, isPrefixOwner: Boolean, retention: CacheRetention, nowMillis: Long): Int {
         val lastCachedPart = prompt.prefixKeys.indexOfLast { key -> isCached(key, retention, nowMillis) }
         val lastUsablePart = if (isPrefixOwner) maxOf(lastCachedPart, prompt.parts.size - 2) else lastCachedPart
-        val cachedTokens = prompt.parts.take(lastUsablePart + 1).sumOf { it.tokens }
-        return maxOf(1, prompt.promptTokens - cachedTokens)
+        val cachedTokens = prompt.parts.take(lastUsablePart + 1).sumOf { maxOf(0, it.tokens).toLong() }
+        return maxOf(1L, prompt.promptTokens - cachedTokens).toInt()
     }
 
     /** Whether the gateway has sent the prefix [key] to the upstream, which is expected to have it cached still. */
--- a/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
@@ -146,6 +146,16 @@
                     3
             }
         }
+        // Guards against a sum that overflows, which made the fullest engine look like the least busy one.
+        describe("an engine that reports more requests than an Int holds") {
+            it("is the last whose stage changes") {
+                val statuses = fleet(prefill = 4, decode = 1, queue = 0)
+                val full = statuses[0].copy(running = Int.MAX_VALUE, waiting = Int.MAX_VALUE)
+                val changed = changes(listOf(full) + statuses.drop(1), rounds = 1).map { it.status.engine.id }
+                changed shouldHaveSize 1
+                (full.engine.id in changed) shouldBe false
+            }
+        }
         describe("a fleet with several engines that do not report") {
             it("is not changed, since a data centre that is cut off needs the engines it has") {
                 changes(fleet(prefill = 4, decode = 5, queue = 9), listed = 13).shouldBeEmpty()
