Bound the size of an envelope of replication messages

Messages to another replica that waited for an earlier one went into one envelope, up to 32 of them whatever their size. With large configurations it grew beyond the 64 MiB that a receiver accepts, so that all its messages were lost, and was encoded as a whole on a thread whose OutOfMemoryError halts the process.

An envelope now takes no further message beyond 4 MiB. A single larger message still goes alone.

--- a/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
+++ b/control/src/main/kotlin/marigoldward/control/peer/PeerLinks.kt
@@ -98,7 +98,7 @@
      * Calls that overtake each other would make followers refuse entries, and the leader would send them all again.
      */
     private fun deliver(batch: List<Outgoing>) {
-        batch.chunked(MAX_ENVELOPE_MESSAGES).forEach { part ->
+        EnvelopeParts.split(batch) { it.message }.forEach { part ->
             part.groupBy { Endpoints(it.from, it.to) }.forEach { (endpoints, messages) ->
                 val directory = sharedState.directoryUpdateOrNull(sentEdition)
                 val envelope =
@@ -145,7 +145,6 @@
 
     private companion object {
         const val RING_MESSAGES = 1_024
-        const val MAX_ENVELOPE_MESSAGES = 32
 
         /**
          * Below the shortest election timeout, so that a broken connection is replaced before followers miss the
