Keep a connection behind a stream, so that no request waits for its close

Cause: the head of a stream announced the close long before the connection was closed, and the entry read what crossed it, queued it and dropped it at the end of the stream (request_dropped reason=queued).

Change: a stream's head announces a close only if its request asks for one. The next answer that is sent whole announces it, at the latest the refusal of a request that no longer ends in time. While it waits for requests in progress, a stopping entry closes connections that have been idle for half a second, so that one on which a stream ended doesn't stay until its end.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -20,8 +20,8 @@
     private val gracePeriodMillis: Long,
 ) {
     /**
-     * Takes requests that end in time, closes each connection after its response, and returns when all requests have
-     * ended. Until callers have been sent elsewhere, takes requests that are only expected to end in time too. Those
+     * Takes requests that end in time, closes each connection after a response that is sent whole or once it is idle, and
+     * returns when all requests have ended. Until callers have been sent elsewhere, takes requests that are only expected to end in time too. Those
      * that are in progress when the grace period is nearly over are ended by the gateway.
      */
     fun run() {
@@ -79,7 +79,10 @@
     private fun hasRequestsInProgress(): Boolean {
         // An event loop that lags does not answer in time and may have requests.
         var hasRequests = true
-        onLoop { hasRequests = callerServer.isBusy }
+        onLoop {
+            callerServer.closeIdle()
+            hasRequests = callerServer.isBusy
+        }
         return hasRequests
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -373,9 +373,12 @@
 
         private val isCurrent: Boolean get() = current === this
 
+        /** Whether the request lets the connection be kept. */
+        private val letsKeepConnection: Boolean get() = received.keepsConnection && !received.isBeforeHttp11
+
         override fun respond(head: ResponseHead, body: ByteArray) {
             if (!isCurrent) return
-            val keepsConnection = keepsConnection()
+            val keepsConnection = letsKeepConnection && (!server.isDraining || hasReceivedMore)
             val framing = if (head.status == NO_CONTENT) null else "Content-Length: ${body.size}"
             write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection), framing))
             if (body.isNotEmpty() && !isHead) write(context.alloc().buffer(body.size).writeBytes(body))
@@ -385,9 +388,9 @@
         override fun beginResponse(head: ResponseHead) {
             if (!isCurrent) return
             val framing = if (received.isBeforeHttp11) null else "Transfer-Encoding: chunked"
-            val keepsConnection = keepsConnection()
-            hasAnnouncedToKeep = keepsConnection
-            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, keepsConnection), framing))
+            // Requests that come before the caller reads this head are answered only if it announces no close.
+            hasAnnouncedToKeep = letsKeepConnection
+            write(Http1Encoder.responseHead(context.alloc(), withConnection(head, letsKeepConnection), framing))
         }
 
         override fun sendPart(data: ByteArray) {
@@ -418,9 +421,6 @@
             onCallerGone()
         }
 
-        private fun keepsConnection(): Boolean =
-            received.keepsConnection && !received.isBeforeHttp11 && (!server.isDraining || hasReceivedMore)
-
         private fun withConnection(head: ResponseHead, keepsConnection: Boolean): ResponseHead =
             if (keepsConnection) head else head.copy(headers = head.headers.plus("Connection", "close"))
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -37,7 +37,7 @@
     /** The limits in force. */
     val limits: CallerLimits get() = currentLimits()
 
-    /** Whether connections are closed after their current response. */
+    /** Whether connections are closed after the next response that is sent whole, or once they are idle. */
     var isDraining: Boolean = false
 
     /** Whether any connection is not idle, or a request is probably on its way. */
