Log and count a request that is dropped behind an answer that is cut off

What callers saw: a request behind a stream that breaks off ends with its connection, and no line told of it.

Change: event=request_dropped reason=cut, once a connection, counted in marigoldward_requests_dropped_total. Its counter is visible to tests.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -51,7 +51,7 @@
             .help("Answers of upstreams that belong to no call on their connection, by why")
             .labelNames("reason")
             .register()
-    private val requestsDropped: Counter =
+    val requestsDropped: Counter =
         Counter
             .builder()
             .name("marigoldward_requests_dropped_total")
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -409,6 +409,7 @@
         override fun abort() {
             if (!isCurrent) return
             endCurrent()
+            queued.firstOrNull()?.let { recordDropped("cut", it.head.target) }
             // The end of the connection is the end of the response before HTTP/1.1, so only a reset tells them apart.
             if (received.isBeforeHttp11) reset() else context.close()
         }
--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/KeptConnectionTest.kt
@@ -10,6 +10,7 @@
 import marigoldward.core.dispatch.EngineStage
 import marigoldward.core.routes.CallerLimits
 import marigoldward.gateway.FakeUpstream
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.RawCaller
 import marigoldward.gateway.TestGateway
 import kotlin.concurrent.thread
@@ -187,6 +188,26 @@
             }
         }
 
+        // Guards against a request that ends with its connection and of which no line tells.
+        describe("a request that waits behind a stream which breaks off") {
+            it("is counted as dropped") {
+                val dropped = GatewayMetrics.requestsDropped.labelValues("cut")
+                val droppedBefore = dropped.get()
+                val cut = { call: FakeUpstream.Call ->
+                    call.write("HTTP/1.1 200 OK\r\nX-Id: ${call.id}\r\nX-Signed: s\r\n")
+                    call.write("Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n")
+                    Thread.sleep(ANSWER_MILLIS)
+                    call.reset()
+                }
+                withGateway(EngineStage.DECODE, script = cut) { _, caller ->
+                    caller.send(get("/s/x", "1") + get("/s/x", "2"))
+                    caller.readResponse().shouldNotBeNull().isComplete shouldBe false
+                    caller.isClosed() shouldBe true
+                }
+                dropped.get() - droppedBefore shouldBe 1.0
+            }
+        }
+
         // A gateway closed idle connections without a look at what had come since it read them last.
         describe("a request that lies in the socket while its connection is about to be closed as idle") {
             it("is answered when the gateway stops") {
