Let the list of a new leader arrive before its followers' readings are counted

Trace: the leader was stopped at 19:15:10.324; the votes of term 2 were split, so that instance 2 led from 19:15:13.313 on, 15 ms before the readings of the next 2 s were counted. Until then instance 3 had no list younger than 1.1 s and read it itself, as it must without a leader. The test waits 1.5 s after the election now, as it does after the first one; what it expects is unchanged.

--- a/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/cluster/ClusterTest.kt
@@ -215,6 +215,8 @@
                     cluster.stop(first)
                     cluster.readersWithin(3_000).isEmpty() shouldBe false
                     val next = cluster.leader()
+                    // A follower reads the list itself until the list of a leader reaches it.
+                    Thread.sleep(1_500)
                     cluster.readersWithin(2_000) shouldBe setOf(next)
                 }
             }
