Reset both halves of a forwarded connection before either is closed

Cause, in the bench's forwarder: reset() closed one half, whose copying thread closed the other one in order before its turn came. Scenarios and soaks that reset connections reset fewer than they said.

--- a/bench/src/main/kotlin/marigoldward/bench/fleet/Forwarder.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/fleet/Forwarder.kt
@@ -31,12 +31,10 @@
 
     /** Resets all open connections. */
     fun reset() {
-        sockets.forEach { socket ->
-            runCatching {
-                socket.setSoLinger(true, 0)
-                socket.close()
-            }
-        }
+        // The end of one half makes the copying threads close the other, which must be a reset by then.
+        val open = sockets.toList()
+        open.forEach { runCatching { it.setSoLinger(true, 0) } }
+        open.forEach { runCatching { it.close() } }
     }
 
     override fun close() {
--- a/bench/src/test/kotlin/marigoldward/bench/fleet/ForwarderTest.kt
+++ b/bench/src/test/kotlin/marigoldward/bench/fleet/ForwarderTest.kt
@@ -11,6 +11,7 @@
 import java.net.SocketTimeoutException
 
 private const val READ_TIMEOUT_MILLIS = 300
+private const val CONNECTIONS = 200
 private val CLIENT_DATA_HELD = LinkState(isClientDataHeld = true, isServerDataHeld = false, delayMillis = 0)
 private val SERVER_DATA_HELD = LinkState(isClientDataHeld = false, isServerDataHeld = true, delayMillis = 0)
 
@@ -66,6 +67,22 @@
                     (System.nanoTime() - startNanos) / 1_000_000 shouldBeGreaterThanOrEqual 100
                 }
             }
+            // Guards against a connection that is closed with its other half before it is reset.
+            it("resets each of many open connections") {
+                ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress()).use { listener ->
+                    Forwarder(listener.localPort).use { forwarder ->
+                        val clients = List(CONNECTIONS) {
+                            Socket(InetAddress.getLoopbackAddress(), forwarder.port).apply { soTimeout = 3_000 }
+                        }
+                        val servers = List(CONNECTIONS) { listener.accept() }
+                        clients.forEach { it.getOutputStream().write(7) }
+                        servers.forEach { it.getInputStream().read() shouldBe 7 }
+                        forwarder.reset()
+                        clients.count { runCatching { it.getInputStream().read() }.getOrNull() == -1 } shouldBe 0
+                        (clients + servers).forEach(Socket::close)
+                    }
+                }
+            }
             it("resets open connections") {
                 ForwardedConnection().use {
                     send(it.client, it.server)
