--- a/entry/src/main/kotlin/marigoldward/entry/upstream/EngineMessageJson.kt
+++ b/entry/src/main/kotlin/marigoldward/entry/upstream/EngineMessageJson.kt
@@ -8,10 +8,7 @@
 
 /** Reads the JSON messages of engines. */
 internal object EngineMessageJson {
-    private const val MAX_BYTES = 4 * 1_024 * 1_024
-    private const val MAX_DEPTH = 16
-    private const val MAX_VALUES = 200_000
-    private val json = BoundedJson.within(JsonBounds(MAX_BYTES, MAX_DEPTH, MAX_VALUES))
+    private val json = BoundedJson.within(JsonBounds.MESSAGE)
 
     /** Returns the message in [text], or why it can't be read. */
     fun <T> read(deserializer: DeserializationStrategy<T>, text: String): Outcome<T, JsonProblem> =
--- a/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GracefulShutdown.kt
@@ -21,8 +21,8 @@
 ) {
     /**
      * Takes requests that end in time, closes each connection after a response that is sent whole or once it is idle, and
-     * returns when all requests have ended. Until callers have been sent elsewhere, takes requests that are only expected to end in time too. Those
-     * that are in progress when the grace period is nearly over are ended by the gateway.
+     * returns when all requests have ended. Until callers have been sent elsewhere, takes requests that are only expected
+     * to end in time too. Those that are in progress when the grace period is nearly over are ended by the gateway.
      */
     fun run() {
         val exitMillis = MonotonicClock.nowMillis() + gracePeriodMillis - EXIT_MARGIN_MILLIS
--- a/support/src/main/kotlin/marigoldward/support/json/JsonBounds.kt
+++ b/support/src/main/kotlin/marigoldward/support/json/JsonBounds.kt
@@ -33,4 +33,10 @@
         /** Such a value is read as `null`, without a tree of it, and the others are kept. */
         READ_AS_NULL,
     }
+
+    /** Holds bounds that several readers share. */
+    public companion object {
+        /** The bounds of a message from an upstream or of the list of a stand-in platform. */
+        public val MESSAGE: JsonBounds = JsonBounds(maxBytes = 4 * 1_024 * 1_024, maxDepth = 16, maxValues = 200_000)
+    }
 }
--- a/support/src/main/kotlin/marigoldward/support/platform/PlatformListing.kt
+++ b/support/src/main/kotlin/marigoldward/support/platform/PlatformListing.kt
@@ -18,8 +18,7 @@
 /** Parses the platform's list of instances, which `GET /v1/instances` returns. */
 public object PlatformListing {
     private const val LIVE = "live"
-    private val json =
-        BoundedJson.within(JsonBounds(maxBytes = 4 * 1_024 * 1_024, maxDepth = 16, maxValues = 200_000))
+    private val json = BoundedJson.within(JsonBounds.MESSAGE)
     private val log = EventLog.fromName("platform")
 
     @Serializable
