Add the messages, settings and interfaces of workspaces and duties

Parts that are built side by side need the same messages between entries and control instances, the same settings and the same access to the leader's term. LeaderTerm is taken out of StageDuty without a change of behaviour. A setting without text counts as absent, as the platform fills in nothing where a deployment has no such value.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -6,6 +6,7 @@
 import marigoldward.control.peer.PeerLinks
 import marigoldward.control.peer.PeerService
 import marigoldward.control.peer.SharedStateSource
+import marigoldward.control.replica.LeaderTerm
 import marigoldward.control.replica.ReplicaDuty
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.control.routes.RouteStore
@@ -58,10 +59,7 @@
     private val replicaThread: Duty<ReplicaDutyEvent> = Duty.start("replica", RING_EVENTS, replica::handle)
     private val directoryReader = DirectoryDuty(directorySource, ::onDirectoryRead)
     private val sharedDirectory = SharedDirectory(System.nanoTime(), MonotonicClock.id)
-    private val stages =
-        StageDuty(settings.ip, engines, replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS) {
-            sharedDirectory.readingOrNull
-        }
+    private val stages = StageDuty(settings.ip, engines, newLeaderTerm()) { sharedDirectory.readingOrNull }
 
     @Volatile
     private var seeds = cluster.seedInstances
@@ -100,6 +98,8 @@
         log.info("ended")
     }
 
+    private fun newLeaderTerm(): LeaderTerm = LeaderTerm(replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS)
+
     private fun startTimers() {
         timer.subscribe(TICK_PERIOD_MILLIS) {
             replicaThread.offer(ReplicaDutyEvent.Tick)
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterSettings.kt
@@ -21,6 +21,7 @@
  * @property catchUpMillis the time from the start of a new control instance after which it has to have taken the place
  * of a lost one, in milliseconds
  * @property directory the address of the service that lists the upstreams
+ * @property duties the settings of the duties that the leader performs at the platform's provider
  * @property leaseMillis how long an earlier sender of orders to engines may still act, in milliseconds
  */
 public data class ClusterSettings(
@@ -34,6 +35,7 @@
     val catchUpMillis: Long,
     val directory: InetSocketAddress,
     val leaseMillis: Long,
+    val duties: DutySettings = DutySettings.NONE,
 ) {
     /** Reads settings. */
     public companion object {
@@ -59,6 +61,7 @@
                     catchUpMillis = catchUpMillis(section),
                     directory = section.address("directory"),
                     leaseMillis = section.integer("lease_ms", 1..MAX_LEASE_MILLIS),
+                    duties = DutySettings.read(section),
                 )
             section.rejectUnknownKeys()
             return settings
--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -1,6 +1,6 @@
 package marigoldward.control.stages
 
-import marigoldward.control.replica.ReplicaDutyEvent
+import marigoldward.control.replica.LeaderTerm
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.EngineStatus
 import marigoldward.core.dispatch.LeavingUpstreams
@@ -15,15 +15,12 @@
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
-import java.util.concurrent.CompletableFuture
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.TimeoutException
 
 /**
  * Changes the stages of engines while this replica leads. One thread reads their status, plans and sends orders.
  *
  * The term is the fencing token. An order of the previous leader may still arrive for a while, so a new leader sends
- * none for [takeoverDelayMillis]. Right before each order, a quorum confirms that this replica still leads. An engine
+ * none until its takeover delay is over. Right before each order, a quorum confirms that this replica still leads. An engine
  * that did not answer an order gets no other until that one can't arrive any more. An engine that is leaving, by the
  * directory or by its own answers, gets no order and isn't asked for its status.
  *
@@ -32,8 +29,7 @@
 internal class StageDuty(
     private val self: InstanceId,
     private val engines: EngineControl,
-    private val replica: Duty<ReplicaDutyEvent>,
-    private val takeoverDelayMillis: Long,
+    private val leaderTerm: LeaderTerm,
     private val directory: () -> DirectoryReading?,
 ) : AutoCloseable {
     private data object Poll
@@ -43,12 +39,11 @@
     private val unreachable = HashSet<UpstreamId>()
     private val leavingUpstreams = LeavingUpstreams()
 
-    /** The last term in which this replica was found to lead. */
-    private var leaderTerm = 0L
-    private var leaderSinceMillis = 0L
+    /** The token of the term in which this replica was last found to lead. */
+    private var token = FencingToken.NONE
 
-    /** The last term of this replica whose token an engine has refused; no more orders are sent in it. */
-    private var staleTerm = 0L
+    /** The last token of this replica that an engine has refused; no more orders are sent with it. */
+    private var staleToken = FencingToken.NONE
     private val thread: Duty<Poll> = Duty.start("stages", RING_EVENTS) { pollEngines() }
 
     /** Requests one reading of the engines, and the orders that follow from it. */
@@ -59,14 +54,12 @@
     override fun close() = thread.close()
 
     private fun pollEngines() {
-        val term = leaderTermOrNull() ?: return
-        val nowMillis = MonotonicClock.nowMillis()
-        if (term != leaderTerm) {
-            leaderTerm = term
-            leaderSinceMillis = nowMillis
+        val current = leaderTerm.tokenOrNull() ?: return
+        if (current != token) {
+            token = current
             planners.clear()
         }
-        if (nowMillis - leaderSinceMillis < takeoverDelayMillis || term == staleTerm) return
+        if (token == staleToken) return
         val reading = directory() ?: return
         leavingUpstreams
             .apply(reading.upstreams, reading.readMillis)
@@ -120,9 +113,7 @@
         val status = change.status
         val untilMillis = blockedUntilMillis[status.engine.id] ?: 0
         if (MonotonicClock.nowMillis() < untilMillis) return
-        val term = leaderTermOrNull()
-        if (term != leaderTerm) return
-        val token = FencingToken.fromNumber(term)
+        if (leaderTerm.tokenOrNull() != token) return
         val order = EngineControl.StageOrder(status.engine, change.newStage, self, token, status.orderSequence)
         val reply = send(order)
         if (reply.isLeaving) recordLeaving(status.engine, "order")
@@ -159,25 +150,13 @@
         when (result) {
             is EngineControl.OrderResult.Unknown ->
                 blockedUntilMillis[status.engine.id] = MonotonicClock.nowMillis() + ORDER_LIFETIME_MILLIS
-            EngineControl.OrderResult.StaleToken -> staleTerm = leaderTerm
+            EngineControl.OrderResult.StaleToken -> staleToken = token
             EngineControl.OrderResult.Accepted, is EngineControl.OrderResult.Refused -> Unit
         }
     }
 
-    /** Returns the term in which this replica leads, confirmed by a quorum, or null. */
-    private fun leaderTermOrNull(): Long? {
-        val answer = CompletableFuture<Long?>()
-        if (!replica.offer(ReplicaDutyEvent.ReadLeaderTerm(answer::complete))) return null
-        return try {
-            answer.get(CONFIRM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        } catch (_: TimeoutException) {
-            null
-        }
-    }
-
     private companion object {
         const val RING_EVENTS = 2
-        const val CONFIRM_TIMEOUT_MILLIS = 1_000L
 
         /** How long an order without an answer may still be carried out. */
         const val ORDER_LIFETIME_MILLIS = 15_000L
--- a/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import marigoldward.control.replica.LeaderTerm
 import marigoldward.control.replica.ReplicaDutyEvent
 import marigoldward.core.Outcome
 import marigoldward.core.dispatch.EngineStage
@@ -76,7 +77,7 @@
         events.filterIsInstance<ReplicaDutyEvent.ReadLeaderTerm>().forEach { it.answer(1) }
     }
     replica.use {
-        StageDuty(InstanceId.parse("10.0.0.1"), engines, replica, takeoverDelayMillis = 0) {
+        StageDuty(InstanceId.parse("10.0.0.1"), engines, LeaderTerm(replica, takeoverDelayMillis = 0)) {
             DirectoryReading(ENGINES, MonotonicClock.nowMillis())
         }.use { duty -> action(duty) }
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
@@ -20,6 +20,10 @@
  * @property retryBudgetRatio how many retries all gateways together may send for each request
  * @property retryBudgetSlack how many more retries they may send within a window
  * @property retryBudgetWindowMillis the length of the window, in milliseconds
+ * @property revocationMillis the time after the acknowledgement of a configuration without a key after which no request
+ *   with that key may be accepted, in milliseconds, or null if that time has no strict bound
+ * @property usageWindowMillis the length of the windows in which the usage of workspaces is counted, in milliseconds, or
+ *   null if it is not counted
  */
 public data class GatewaySettings(
     val id: InstanceId,
@@ -34,6 +38,8 @@
     val retryBudgetRatio: Double,
     val retryBudgetSlack: Int,
     val retryBudgetWindowMillis: Long,
+    val revocationMillis: Long? = null,
+    val usageWindowMillis: Long? = null,
 ) {
     /** Reads settings. */
     public companion object {
@@ -41,6 +47,8 @@
         private const val MAX_SECONDS = 3_600.0
         private const val MAX_RETRY_BUDGET = 1_000_000.0
         private const val MILLIS_PER_SECOND = 1_000.0
+        private val REVOCATION_MILLIS = 100L..3_600_000L
+        private val USAGE_WINDOW_SECONDS = 1L..86_400L
 
         /** Reads the settings in [document] and adds errors to [problems]. */
         public fun read(document: IniDocument, problems: ProblemList): GatewaySettings {
@@ -60,11 +68,19 @@
                     retryBudgetRatio = number(section, "repeat_ratio", MAX_RETRY_BUDGET),
                     retryBudgetSlack = number(section, "repeat_slack", MAX_RETRY_BUDGET).toInt(),
                     retryBudgetWindowMillis = millis(section, "repeat_window_s"),
+                    revocationMillis = revocationMillisOrNull(section),
+                    usageWindowMillis = section.integerOrNull("usage_window_s", USAGE_WINDOW_SECONDS)?.times(1_000),
                 )
             section.rejectUnknownKeys()
             return settings
         }
 
+        /** Returns the bound in milliseconds, or null unless `revocation_strict` is true. */
+        private fun revocationMillisOrNull(section: SectionReader): Long? {
+            val millis = section.integerOrNull("revocation_ms", REVOCATION_MILLIS)
+            return millis.takeIf { section.textOrNull("revocation_strict") == "true" }
+        }
+
         private fun <T : Any> name(section: SectionReader, key: String, parse: (String) -> T?): T? =
             section.parsed(key, null, "a name of 1 to 64 letters, digits, '.', '_' or '-'", parse)
 
--- a/support/src/main/kotlin/marigoldward/support/settings/SectionReader.kt
+++ b/support/src/main/kotlin/marigoldward/support/settings/SectionReader.kt
@@ -42,6 +42,14 @@
         return number
     }
 
+    /** Returns the integer value of [key], which must be in [allowed], or null if the key is absent or has no text. */
+    public fun integerOrNull(key: String, allowed: LongRange): Long? {
+        val value = valueOrNull(key, true)?.takeIf { it.text.isNotEmpty() } ?: return null
+        val number = value.text.toLongOrNull()?.takeIf { it in allowed }
+        if (number == null) rejectValue(value, "a whole number from ${allowed.first} to ${allowed.last}")
+        return number
+    }
+
     /** Returns the value of [key], `true` or `false`; required if there is no [default]. */
     public fun boolean(key: String, default: Boolean? = null): Boolean =
         parsed(key, default, "true or false") { it.toBooleanStrictOrNull() } ?: default ?: false
