Serve workspaces: keys, revocation within its bound, usage reports and ordered engines

Callers' keys went on to engines, unknown keys ran, no key was ever revoked, and the duties at the provider were not performed.

A configuration may hold workspaces with keys; a request's key decides its workspace, whose name the upstream receives instead of the key. An entry accepts keys only while its configuration is confirmed as the newest, counted from the question, by both clocks. Entries report usage and demand with the same exchange; the leader records each usage window in the log before it reports it, and replaces regular engines by reclaimable ones, up first and down once as many serve.

No tests yet.

--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -1,5 +1,11 @@
 package marigoldward.control.cluster
 
+import marigoldward.control.capacity.CapacityDuty
+import marigoldward.control.capacity.DemandExchange
+import marigoldward.control.capacity.ScaledServices
+import marigoldward.control.duties.ProviderCalls
+import marigoldward.control.duties.ProviderDuty
+import marigoldward.control.exchange.EntryExchanges
 import marigoldward.control.feed.CrashReports
 import marigoldward.control.feed.EntryFeed
 import marigoldward.control.feed.SharedDirectory
@@ -13,6 +19,8 @@
 import marigoldward.control.stages.EngineControl
 import marigoldward.control.stages.StageDuty
 import marigoldward.control.storage.ReplicaStore
+import marigoldward.control.usage.UsageDuty
+import marigoldward.control.usage.UsageExchange
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlState
 import marigoldward.core.model.InstanceId
@@ -21,6 +29,7 @@
 import marigoldward.core.replication.ReplicaMessage
 import marigoldward.core.replication.ReplicationTiming
 import marigoldward.core.routes.RouteDocumentReader
+import marigoldward.core.usage.UsageWindows
 import marigoldward.support.directory.DirectoryDuty
 import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.directory.DirectorySource
@@ -34,6 +43,9 @@
 import marigoldward.wire.peer.PeerEnvelope
 import marigoldward.wire.rpc.RpcServer
 import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 
 /** A running control instance of a cluster that changes its members without an operator. */
 public class ClusterProgram private constructor(
@@ -42,7 +54,15 @@
     reader: RouteDocumentReader,
     directorySource: DirectorySource,
     engines: EngineControl,
+    provider: Provider?,
 ) : AutoCloseable {
+    /** The platform's provider: [calls] to it, and the [duties] that the deployment asks for. */
+    public class Provider(public val calls: ProviderCalls, public val duties: Set<ProviderDuty>)
+
+    /** The control state as of the newest applied entry. */
+    @Volatile
+    private var controlState = ControlState.EMPTY
+
     private val cluster = settings.cluster
     private val timer = TimerService.start()
     private val crashReports: CrashReports = CrashReports(::submit) { replica.status }
@@ -61,6 +81,13 @@
     private val sharedDirectory = SharedDirectory(System.nanoTime(), MonotonicClock.id)
     private val stages = StageDuty(settings.ip, engines, newLeaderTerm()) { sharedDirectory.readingOrNull }
 
+    private val usage = provider?.takeIf { ProviderDuty.USAGE_REPORTS in it.duties }?.let(::newUsageReporting)
+    private val scaledServices = ScaledServices(reader) { controlState.routes }
+    private val demand = DemandExchange(feed::entryCountToShare)
+    private val capacity = provider?.takeIf { ProviderDuty.ENGINE_ORDERS in it.duties }?.let { newCapacityDuty(it) }
+    private val exchanges =
+        EntryExchanges(cluster, replicaThread, listOfNotNull(usage?.exchange, demand)) { replica.status }
+
     @Volatile
     private var seeds = cluster.seedInstances
 
@@ -74,7 +101,7 @@
         RpcServer.start(
             InetSocketAddress(settings.ip.text, cluster.rpcPort),
             cluster.identity,
-            listOf(peers.service, feed.service),
+            listOf(peers.service, feed.service, exchanges.service),
             ListenWait.UntilFree,
         )
 
@@ -92,25 +119,55 @@
     override fun close() {
         log.info("ending")
         replicaThread.put(ReplicaDutyEvent.Resign)
-        listOf(timer, server, stages, directoryReader, replicaThread, links, store).forEach { part ->
-            runCatching { part.close() }
-        }
+        val duties = listOfNotNull(usage?.duty, capacity, stages)
+        val parts = listOf(timer, server, exchanges) + duties + listOf(directoryReader, replicaThread, links, store)
+        parts.forEach { part -> runCatching { part.close() } }
         log.info("ended")
     }
 
     private fun newLeaderTerm(): LeaderTerm = LeaderTerm(replicaThread, settings.leaseMillis + TAKEOVER_MARGIN_MILLIS)
 
+    private class UsageReporting(val exchange: UsageExchange, val duty: UsageDuty)
+
+    private fun newUsageReporting(provider: Provider): UsageReporting? {
+        val windowMillis = settings.duties.usageWindowMillis ?: return null
+        val dueMillis = settings.duties.usageDueMillis ?: return null
+        val exchange = UsageExchange(UsageWindows(windowMillis), dueMillis) { controlState.usage.lastWindow }
+        val duty = UsageDuty(
+            settings.duties.holder,
+            provider.calls,
+            newLeaderTerm(),
+            exchange,
+            Math.ceil(MILLIS_PER_SECOND / maxOf(settings.duties.callsPerSecond, MIN_CALLS_PER_SECOND)).toLong(),
+            { controlState.usage },
+            ::submitAndWait,
+        )
+        return UsageReporting(exchange, duty)
+    }
+
+    private fun newCapacityDuty(provider: Provider): CapacityDuty = CapacityDuty(
+        settings.duties.holder,
+        provider.calls,
+        newLeaderTerm(),
+        scaledServices::current,
+        { sharedDirectory.readingOrNull },
+        demand::neededEnginesOrNull,
+    )
+
     private fun startTimers() {
         timer.subscribe(TICK_PERIOD_MILLIS) {
             replicaThread.offer(ReplicaDutyEvent.Tick)
             feed.sendCrashCounts()
         }
         timer.subscribe(HEARTBEAT_PERIOD_MILLIS, feed::sendHeartbeats)
+        timer.subscribe(EXCHANGE_PERIOD_MILLIS, exchanges::replyToWaiting)
         timer.subscribe(DIRECTORY_CHECK_PERIOD_MILLIS, ::readDirectoryIfDue)
         timer.subscribe(STAGE_POLL_PERIOD_MILLIS) {
             stages.poll()
             crashReports.startDueTrials(MonotonicClock.nowMillis())
         }
+        capacity?.let { timer.subscribe(DUTY_PERIOD_MILLIS, it::poll) }
+        usage?.let { timer.subscribe(DUTY_PERIOD_MILLIS, it.duty::poll) }
         timer.subscribe(JOIN_PERIOD_MILLIS, ::announceIfNotMember)
     }
 
@@ -118,6 +175,17 @@
     private fun submit(command: ControlCommand, onReply: (SubmitReply) -> Unit): Boolean =
         replicaThread.offer(ReplicaDutyEvent.Submit(command, onReply))
 
+    /** Submits [command] to the replica and waits for its outcome, for longer than an election takes. */
+    private fun submitAndWait(command: ControlCommand): SubmitReply {
+        val answer = CompletableFuture<SubmitReply>()
+        if (!submit(command, answer::complete)) return SubmitReply.Refused("too many requests are waiting")
+        return try {
+            answer.get(SUBMIT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        } catch (_: TimeoutException) {
+            SubmitReply.Unknown
+        }
+    }
+
     private fun readDirectoryIfDue() {
         val current = replica.status
         val role = when {
@@ -174,6 +242,7 @@
         override fun send(to: ReplicaId, message: ReplicaMessage) = links.send(store.replica, to, message)
 
         override fun onStateChanged(state: ControlState, index: Long) {
+            controlState = state
             state.routes?.let(feed::onRoutesChanged)
             crashReports.onStateChanged(state)
         }
@@ -187,6 +256,9 @@
         /** A third of the time after which entries give up a silent instance. */
         private const val HEARTBEAT_PERIOD_MILLIS = 400L
 
+        /** How long the leader collects requests of entries before a majority confirms it for all of them. */
+        private const val EXCHANGE_PERIOD_MILLIS = 50L
+
         /** How often a replica checks whether its list of upstreams is due to be read. */
         private const val DIRECTORY_CHECK_PERIOD_MILLIS = 200L
 
@@ -195,6 +267,12 @@
 
         /** How much longer than a lease a new leader waits before it sends orders to engines. */
         private const val TAKEOVER_MARGIN_MILLIS = 1_000L
+
+        /** How often the leader looks for duties that are due. */
+        private const val DUTY_PERIOD_MILLIS = 500L
+        private const val SUBMIT_TIMEOUT_MILLIS = 3_000L
+        private const val MILLIS_PER_SECOND = 1_000.0
+        private const val MIN_CALLS_PER_SECOND = 0.1
         private const val JOIN_PERIOD_MILLIS = 300L
 
         /** The time without a leader after which a member asks to join. Longer than an election takes. */
@@ -207,9 +285,10 @@
             reader: RouteDocumentReader,
             directory: DirectorySource,
             engines: EngineControl,
+            provider: Provider? = null,
         ): ClusterProgram {
             val store = ClusterStore.open(settings)
-            val program = ClusterProgram(settings, store, reader, directory, engines)
+            val program = ClusterProgram(settings, store, reader, directory, engines, provider)
             program.startTimers()
             log.info("started") {
                 field("replica", store.replica)
--- a/wire/src/main/kotlin/marigoldward/wire/feed/ServiceDemand.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/ServiceDemand.kt
@@ -1,4 +1,4 @@
-package marigoldward.wire.feed
+package marigoldward.core.capacity
 
 import kotlinx.serialization.Serializable
 import marigoldward.core.model.PoolName
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -128,7 +128,21 @@
     @SerialName("retry-quarantined")
     public data class RetryQuarantined(val fingerprint: Fingerprint) : ControlCommand
 
+    /** Makes the counts of the usage window [window] final, unless it or a later one is recorded already. */
+    @Serializable
+    @SerialName("record-usage")
+    public data class RecordUsage(val window: Long, val counts: Map<String, Long>) : ControlCommand {
+        override val approximateBytes: Long
+            get() = BASE_SIZE_BYTES + counts.keys.sumOf { it.length + COUNT_SIZE_BYTES }
+    }
+
+    /** Records that the report of the usage window [window] was accepted, or is not sent any more. */
+    @Serializable
+    @SerialName("mark-usage-reported")
+    public data class MarkUsageReported(val window: Long) : ControlCommand
+
     public companion object {
+        private const val COUNT_SIZE_BYTES = 16L
         private const val SUSPECT_SIZE_BYTES = 32L
 
         /** The allowance for every field but the long texts and documents. */
--- a/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlState.kt
@@ -20,6 +20,7 @@
  * @property quarantine the fingerprints of refused requests with the reasons, oldest first
  * @property quarantineVersion increases by one with each change of [quarantine] or [suspects]
  * @property routes the stored route configuration with the highest version, or null before the first
+ * @property usage the usage windows that are recorded
  * @property suspects the fingerprints of requests that upstreams were answering when they crashed, oldest first
  */
 @Serializable
@@ -35,6 +36,7 @@
     val quarantineVersion: Long,
     val routes: RouteDocument? = null,
     val suspects: StateMap<Fingerprint, Suspicion> = persistentMapOf(),
+    val usage: RecordedUsage = RecordedUsage(),
 ) {
     public companion object {
         /** The state before the first command. */
--- a/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlStateMachine.kt
@@ -7,6 +7,7 @@
 import marigoldward.core.control.internal.OperatorChanges
 import marigoldward.core.control.internal.Quarantines
 import marigoldward.core.control.internal.RouteDocuments
+import marigoldward.core.control.internal.UsageRecords
 
 /** The replicated state machine. It is deterministic: the same commands give the same state on every replica. */
 public object ControlStateMachine {
@@ -26,5 +27,7 @@
         is ControlCommand.ReportCrash -> CrashEvidence.report(state, command)
         is ControlCommand.ClearSuspects -> CrashEvidence.clear(state, command)
         is ControlCommand.RetryQuarantined -> CrashEvidence.retry(state, command)
+        is ControlCommand.RecordUsage -> UsageRecords.record(state, command)
+        is ControlCommand.MarkUsageReported -> UsageRecords.markReported(state, command)
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/ListedUpstream.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/ListedUpstream.kt
@@ -12,6 +12,7 @@
  * @property slots the number of requests that it runs at once
  * @property isLeaving whether it accepts no new requests
  * @property isCold whether it has started recently and is still slow
+ * @property isReclaimable whether it costs less and may be taken away with the others of its kind in its data centre
  * @property stage the stage of an engine; null for an instance of a plain service
  */
 @Serializable
@@ -24,4 +25,5 @@
     val isLeaving: Boolean,
     val isCold: Boolean,
     val stage: EngineStage?,
+    val isReclaimable: Boolean = false,
 )
--- a/core/src/main/kotlin/marigoldward/core/routes/Route.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/Route.kt
@@ -13,6 +13,7 @@
  * @property maxAttempts the number of upstreams that may run one request
  * @property isResumable whether a stream may continue on another upstream after events were delivered
  * @property hasPrompts whether requests describe the parts of their prompts
+ * @property isPublic whether its requests need no key
  */
 public data class Route(
     val name: String,
@@ -27,6 +28,7 @@
     val maxAttempts: Int,
     val isResumable: Boolean,
     val hasPrompts: Boolean,
+    val isPublic: Boolean = false,
 ) {
     /** Whether a request that may have run already may run again. */
     val isRepeatable: Boolean
--- a/core/src/main/kotlin/marigoldward/core/routes/RouteConfiguration.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/RouteConfiguration.kt
@@ -2,17 +2,21 @@
 
 import marigoldward.core.Outcome
 import marigoldward.core.model.PoolName
+import marigoldward.core.workspaces.Workspace
+import marigoldward.core.workspaces.Workspaces
 
 /**
- * A validated configuration of routes, services and limits.
+ * A validated configuration of routes, services, limits and workspaces.
  *
  * @property version the version of the configuration; the highest one is in force
+ * @property workspaces the workspaces, or null if requests need no key
  */
 public class RouteConfiguration private constructor(
     public val version: Long,
     public val routes: List<Route>,
     public val services: Map<PoolName, ServiceDeclaration>,
     public val limits: CallerLimits,
+    public val workspaces: Workspaces?,
 ) {
     private val routesByHost: Map<String, List<Route>> =
         routes
@@ -28,20 +32,27 @@
 
     /** Validates configurations. */
     public companion object {
-        /** Returns the configuration if it is valid, or else the first problem that was found. */
+        /**
+         * Returns the configuration if it is valid, or else the first problem that was found.
+         *
+         * @param workspaces the workspaces whose keys requests need, or null if they need none
+         */
         public fun check(
             version: Long,
             routes: List<Route>,
             services: List<ServiceDeclaration>,
             limits: CallerLimits,
+            workspaces: List<Workspace>? = null,
         ): Outcome<RouteConfiguration, RouteProblem> {
             val declared = services.associateBy { it.name }
             val problem =
                 routes.firstNotNullOfOrNull { routeProblemOrNull(it, declared) }
                     ?: duplicateRouteOrNull(routes)
                     ?: duplicateServiceOrNull(services)
+                    ?: sharedKeyOrNull(workspaces.orEmpty())
             return if (problem == null) {
-                Outcome.Success(RouteConfiguration(version, routes, declared, limits))
+                val byKey = workspaces?.let(Workspaces::of)
+                Outcome.Success(RouteConfiguration(version, routes, declared, limits, byKey))
             } else {
                 Outcome.Failure(problem)
             }
@@ -76,5 +87,8 @@
             .values
             .firstOrNull { it.size > 1 }
             ?.let { RouteProblem.BadValue("service \"${it[0].name}\"", "it is declared twice") }
+
+        private fun sharedKeyOrNull(workspaces: List<Workspace>): RouteProblem? =
+            Workspaces.sharedKeyOrNull(workspaces)?.let { RouteProblem.SharedKey(it.first, it.second, it.key) }
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/routes/RouteProblem.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/RouteProblem.kt
@@ -1,5 +1,8 @@
 package marigoldward.core.routes
 
+import marigoldward.core.workspaces.KeyDigest
+import marigoldward.core.workspaces.WorkspaceName
+
 /** Why a route configuration is invalid. */
 public sealed interface RouteProblem {
     /** The message for the operator. */
@@ -30,6 +33,13 @@
         override val message: String get() = "the timeout of route \"$route\" is 0"
     }
 
+    /** Two workspaces have the same key, named by its digest. */
+    public data class SharedKey(val first: WorkspaceName, val second: WorkspaceName, val key: KeyDigest) :
+        RouteProblem {
+        override val message: String
+            get() = "workspaces \"$first\" and \"$second\" share the key with the digest $key"
+    }
+
     /** A value is not allowed; [place] names the object that contains it. */
     public data class BadValue(val place: String, val detail: String) : RouteProblem {
         override val message: String get() = "$place: $detail"
--- a/core/src/main/kotlin/marigoldward/core/routes/ServiceDeclaration.kt
+++ b/core/src/main/kotlin/marigoldward/core/routes/ServiceDeclaration.kt
@@ -1,5 +1,6 @@
 package marigoldward.core.routes
 
+import marigoldward.core.capacity.EngineScaling
 import marigoldward.core.model.PoolName
 
 /**
@@ -7,5 +8,11 @@
  *
  * @property maxConnections the number of connections that one upstream accepts from all callers together
  * @property engine the properties of its engines, or null for a plain service
+ * @property scaling how many engines may be ordered, or null if none are
  */
-public data class ServiceDeclaration(val name: PoolName, val maxConnections: Int, val engine: EngineDeclaration?)
+public data class ServiceDeclaration(
+    val name: PoolName,
+    val maxConnections: Int,
+    val engine: EngineDeclaration?,
+    val scaling: EngineScaling? = null,
+)
--- a/wire/src/main/kotlin/marigoldward/wire/feed/UsageReport.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageReport.kt
@@ -1,4 +1,4 @@
-package marigoldward.wire.feed
+package marigoldward.core.usage
 
 import kotlinx.serialization.Serializable
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/Dialect.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.dispatch.ReportedLoad
 import marigoldward.core.model.UpstreamId
 import marigoldward.core.routes.Route
+import marigoldward.core.workspaces.WorkspaceName
 import marigoldward.gateway.message.Headers
 import marigoldward.gateway.message.RequestHead
 import marigoldward.gateway.message.ResponseHead
@@ -40,13 +41,19 @@
      *   not say
      * @property prompt the description of the prompt, or null if the request has none
      * @property lastEventId the id of the event after which the stream is to resume, or null to start at the beginning
+     * @property apiKey the key of the caller's workspace, or null unless there is exactly one; not to be logged
      */
     public data class RequestMetadata(
         val requestId: String?,
         val deadlineMillis: Long?,
         val prompt: Prompt?,
         val lastEventId: String?,
-    )
+        val apiKey: String? = null,
+    ) {
+        /** Returns the metadata without the key. */
+        override fun toString(): String =
+            "RequestMetadata(requestId=$requestId, deadlineMillis=$deadlineMillis, prompt=$prompt, lastEventId=$lastEventId)"
+    }
 
     /**
      * The values that the gateway sets on a request to an upstream.
@@ -58,6 +65,7 @@
      * @property resumeAfterEventId the id of the event after which the stream is to resume, or null to keep what the
      *   caller asked for
      * @property cacheSourceAddress the address of an engine from which a cached prefix is to be copied first, or null
+     * @property identity what the upstream is told of the caller's workspace
      */
     public data class ForwardOptions(
         val upstream: UpstreamId,
@@ -66,8 +74,21 @@
         val step: Step,
         val resumeAfterEventId: String?,
         val cacheSourceAddress: String? = null,
+        val identity: Identity = Identity.AsReceived,
     )
 
+    /** What an upstream is told of the workspace of a caller. */
+    public sealed interface Identity {
+        /** What the caller has sent: the configuration has no workspaces. */
+        public data object AsReceived : Identity
+
+        /** Nothing, whatever the caller has sent: its route needs no key. */
+        public data object Anonymous : Identity
+
+        /** That the caller belongs to [workspace]. */
+        public data class Known(val workspace: WorkspaceName) : Identity
+    }
+
     /** The part of a request that an upstream serves. */
     public sealed interface Step {
         /** The whole request. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -58,6 +58,18 @@
             .help("Connections closed on a request that was read, by why")
             .labelNames("reason")
             .register()
+    val keysDenied: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_keys_denied_total")
+            .help("Requests whose key is missing or belongs to no workspace")
+            .register()
+    val configurationAgeSeconds: Gauge =
+        Gauge
+            .builder()
+            .name("marigoldward_configuration_confirmed_age_seconds")
+            .help("How long ago the configuration in force was last confirmed as the newest, or -1 if it is not known")
+            .register()
     private val firstPartSeconds: Histogram =
         histogram("marigoldward_first_byte_seconds", "Time to an answer's first part")
     private val pauseSeconds: Histogram = histogram("marigoldward_pause_seconds", "Longest pause within an answer")
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -10,21 +10,26 @@
 import marigoldward.core.dispatch.RetryBudgetShare
 import marigoldward.core.model.InstanceId
 import marigoldward.core.routes.CallerLimits
+import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.RouteDocument
 import marigoldward.core.routes.RouteDocumentReader
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.RequestMemory
 import marigoldward.gateway.caller.StatusServer
 import marigoldward.gateway.control.BudgetSharersLog
+import marigoldward.gateway.control.ConfirmedRoutes
+import marigoldward.gateway.control.ControlExchange
 import marigoldward.gateway.control.ControlFeed
 import marigoldward.gateway.control.CrashReporter
 import marigoldward.gateway.control.ReceivedDirectory
 import marigoldward.gateway.control.RouteSelection
+import marigoldward.gateway.demand.MeasuredDemand
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
 import marigoldward.gateway.session.LeavingLog
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
+import marigoldward.gateway.usage.MeteredUsage
 import marigoldward.support.directory.DirectoryCache
 import marigoldward.support.directory.DirectoryDuty
 import marigoldward.support.directory.DirectoryReading
@@ -61,10 +66,17 @@
     private val budgetSharers = BudgetSharers(settings.retryBudgetWindowMillis, startedMillis)
     private val routeSelection = RouteSelection(routeReader, startedMillis)
     private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
-    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget) {
+    private val usage = settings.usageWindowMillis?.let { MeteredUsage(it) }
+    private val demand: MeasuredDemand =
+        MeasuredDemand { service ->
+            gateway.configuration?.services?.get(service)?.scaling !=
+                null
+        }
+    private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget, usage, demand) {
         budgetSharers.count(MonotonicClock.nowMillis())
     }
-    private val gateway = Gateway(context, random)
+    private val confirmedRoutes = settings.revocationMillis?.let { ConfirmedRoutes(it) }
+    private val gateway: Gateway = Gateway(context, random) { confirmedRoutes?.isConfirmed(it.version) ?: true }
     private val memory = RequestMemory.ofHeap()
     private val callerServer = CallerServer(loop, ::callerLimits, memory, gateway::handle)
     private val readinessServer = StatusServer(loop, memory, ::readinessPage)
@@ -81,6 +93,14 @@
             onRoutes = ::onRoutesReceived,
             onUpdate = ::onFeedUpdate,
         )
+    private val exchange =
+        ControlExchange(
+            entry = settings.id,
+            parts = listOfNotNull(confirmedRoutes, usage, demand),
+            runOnLoop = { loop.execute(loggedTask(it)) },
+            isNeeded = { gateway.configuration?.let(::needsExchange) == true },
+            currentClient = feed::currentClient,
+        )
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
     private var isShuttingDown = false
@@ -126,6 +146,7 @@
         // Last, as a start that is cancelled while it waits must not have accepted a request.
         callerServer.start(settings.callerListenAddress, ListenWait.UntilFree)
         scheduleRepeatedly(FEED_CHECK_INTERVAL_MILLIS, feed::maintain)
+        scheduleRepeatedly(EXCHANGE_CHECK_INTERVAL_MILLIS, ::maintainExchange)
         scheduleRepeatedly(DIRECTORY_CHECK_INTERVAL_MILLIS, ::checkDirectory)
         scheduleRepeatedly(POOL_CHECK_INTERVAL_MILLIS) { pool.closeExpired(dispatcher::acceptsRequests) }
         loop.execute(feed::maintain)
@@ -145,6 +166,16 @@
         }
     }
 
+    private fun needsExchange(configuration: RouteConfiguration): Boolean =
+        configuration.workspaces != null || configuration.services.values.any { it.scaling != null }
+
+    private fun maintainExchange() {
+        val version = gateway.configuration?.version ?: return
+        if (confirmedRoutes?.isConfirmed(version) == false) exchange.requestNow()
+        exchange.maintain()
+        confirmedRoutes?.recordAge(version)
+    }
+
     private fun scheduleRepeatedly(periodMillis: Long, action: () -> Unit) {
         loop.scheduleWithFixedDelay(loggedTask(action), periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
@@ -208,6 +239,7 @@
             is RouteSelection.Selection.Selected -> {
                 val configuration = selection.configuration
                 gateway.configuration = configuration
+                exchange.maintain()
                 GatewayMetrics.routesVersion.set(configuration.version.toDouble())
                 log.info("configuration_applied") {
                     field("version", configuration.version)
@@ -257,6 +289,7 @@
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
         private const val FEED_CHECK_INTERVAL_MILLIS = 200L
+        private const val EXCHANGE_CHECK_INTERVAL_MILLIS = 100L
         private const val DIRECTORY_CHECK_INTERVAL_MILLIS = 300L
         private const val POOL_CHECK_INTERVAL_MILLIS = 500L
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlFeed.kt
@@ -46,6 +46,9 @@
     /** The followed control instance, or null before the first. */
     val current: InstanceId? get() = source.current
 
+    /** The client of the followed control instance, or null if no stream to it is open. */
+    val currentClient: RpcClient? get() = streams[source.current]?.client
+
     /** Replaces the seed instances. */
     fun changeSeeds(seeds: List<InstanceId>) = source.changeSeeds(seeds)
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -4,14 +4,24 @@
 import marigoldward.core.routes.Route
 import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.ServiceDeclaration
+import marigoldward.core.workspaces.Access
 import marigoldward.gateway.Dialect
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.caller.CallerExchange
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.support.log.EventLog
 import kotlin.random.Random
 
-/** Finds the route of each request and starts its session. Confined to the event loop thread. */
-internal class Gateway(private val context: SessionContext, private val random: Random) {
+/**
+ * Finds the route and the workspace of each request and starts its session. Confined to the event loop thread.
+ *
+ * @param isConfigurationConfirmed returns whether keys of a configuration may still be accepted
+ */
+internal class Gateway(
+    private val context: SessionContext,
+    private val random: Random,
+    private val isConfigurationConfirmed: (RouteConfiguration) -> Boolean = { true },
+) {
     /** The configuration in force, or null before the first one was applied. */
     var configuration: RouteConfiguration? = null
         set(value) {
@@ -50,7 +60,27 @@
         when {
             route == null -> rejectRequest(exchange, metadata, NOT_FOUND, "no_route", current)
             metadata.requestId == null -> rejectRequest(exchange, metadata, BAD_REQUEST, "no_request_id", current)
-            else -> serve(exchange, metadata, metadata.requestId, route, current)
+            else -> authorize(exchange, metadata, metadata.requestId, route, current)
+        }
+    }
+
+    private fun authorize(
+        exchange: CallerExchange,
+        metadata: Dialect.RequestMetadata,
+        id: String,
+        route: Route,
+        configuration: RouteConfiguration,
+    ) {
+        val access = Access.of(configuration.workspaces, route, metadata.apiKey)
+        when {
+            // A key that is unknown here may have been added by a configuration that this process has not received.
+            access.needsKey && !isConfigurationConfirmed(configuration) ->
+                sendNotRun(exchange, metadata, SessionEnd.NotRun("configuration_not_confirmed", RETRY_AFTER_MILLIS))
+            access == Access.Denied -> {
+                GatewayMetrics.keysDenied.inc()
+                rejectRequest(exchange, metadata, UNAUTHORIZED, "no_valid_key", configuration)
+            }
+            else -> serve(exchange, metadata, id, route, configuration, access)
         }
     }
 
@@ -60,6 +90,7 @@
         id: String,
         route: Route,
         configuration: RouteConfiguration,
+        access: Access,
     ) {
         val service = configuration.services.getValue(route.serviceFor(random.nextDouble()).service)
         val timeoutMillis = minOf(route.timeoutMillis, metadata.deadlineMillis ?: Long.MAX_VALUE)
@@ -68,7 +99,7 @@
             sendNotRun(exchange, metadata, SessionEnd.NotRun.BY_SHUTDOWN)
             return
         }
-        val request = SessionRequest(id, exchange, metadata, route, service, deadlineMillis)
+        val request = SessionRequest(id, exchange, metadata, route, service, deadlineMillis, access)
         newSession(request, route, service).start()
     }
 
@@ -114,6 +145,7 @@
 
     private companion object {
         const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
 
         /** The `Retry-After` of requests that the gateway has no configuration or no memory for, in milliseconds. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/LongPromptAdmission.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/LongPromptAdmission.kt
@@ -37,7 +37,7 @@
      */
     fun requestAdmission(prefillTokens: Int, remainingMillis: Long): Result {
         if (admittedMillis != null || !gate.isLimited(prefillTokens)) return Result.Admitted
-        val expectedWaitMillis = gate.expectedWaitMillis(request.route.priority, limit)
+        val expectedWaitMillis = gate.expectedWaitMillis(request.priority, limit)
         return when {
             gate.tryAdmit(limit) -> {
                 admittedMillis = context.nowMillis()
@@ -63,7 +63,7 @@
 
     private fun enqueue() {
         isQueued = true
-        gate.enqueue(this, request.route.priority, context.nowMillis())
+        gate.enqueue(this, request.priority, context.nowMillis())
         context.schedule(maxQueueMillis.toLong()) {
             if (isQueued) {
                 gate.admitOutOfTurn(this)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -26,6 +26,7 @@
     }
 
     override fun cancelUpstreamWork(reason: String) {
+        currentAttempt?.takeIf { mayHaveRun }?.let { recordBegun(it.startedMillis) }
         currentAttempt?.cancel(AttemptEnd.CANCELLED, reason)
     }
 
@@ -52,9 +53,10 @@
             Dialect.ForwardOptions(
                 upstream.id,
                 remainingMillis,
-                request.route.priority,
+                request.priority,
                 Dialect.Step.Whole,
                 resumeAfterEventId = null,
+                identity = request.identity,
             )
         lateinit var attempt: UpstreamAttempt
         attempt = UpstreamAttempt(context, request, upstream, PlainListener { attempt })
@@ -116,6 +118,7 @@
         if (hasEnded || currentAttempt !== attempt) return
         attempt.recordEnd(end, reason)
         recordAttemptEnd(attempt.upstream.id, end)
+        if (end in ENDS_OF_RUNS) recordBegun(attempt.startedMillis)
         if (acquireRetry(end)) {
             startNextAttempt()
             return
@@ -129,6 +132,7 @@
             when (val verdict = ResponseVerdict.of(head, metadata)) {
                 ResponseVerdict.Usable -> {
                     attempt().recordEnd(AttemptEnd.ANSWERED, "")
+                    recordBegun(attempt().startedMillis)
                     recordAnswered(currentSuspects())
                     if (!hasEnded && currentAttempt === attempt()) respond(head, body)
                 }
@@ -147,6 +151,9 @@
     }
 
     private companion object {
+        /** Ends of attempts whose upstream has probably begun to run the request. */
+        val ENDS_OF_RUNS = setOf(AttemptEnd.FAILED, AttemptEnd.BROKEN, AttemptEnd.SILENT)
+
         /**
          * A response to a repeatable request is overdue if nothing of it came for this multiple of the target latency of
          * its route.
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -29,6 +29,8 @@
     /** Whether the request may have run, so that the caller must not be told that it has not. */
     val mayHaveRun: Boolean get() = mayRun || history.mayHaveRun
 
+    private var isBegunRecorded = false
+
     /** Starts the first attempt and the timer for the deadline. */
     fun start() {
         context.recordSessionStart(this)
@@ -69,6 +71,13 @@
         mayRun = true
     }
 
+    /** Counts the request as one that an upstream began to run at [monotonicMillis], unless it is counted already. */
+    protected fun recordBegun(monotonicMillis: Long) {
+        if (isBegunRecorded) return
+        isBegunRecorded = true
+        request.workspace?.let { context.recordBegun(it, monotonicMillis) }
+    }
+
     private fun onTimeout() {
         try {
             cancelUpstreamWork("time over")
@@ -145,7 +154,7 @@
 
     /** Ends the request with the gateway's own response, as no upstream's response can be forwarded. */
     protected fun endWithoutResponse(end: SessionEnd) {
-        recordOutcome(end.label, end.status)
+        recordOutcome(end.label, end.status, isRefused = end is SessionEnd.NotRun)
         SessionEnd.send(end, request.id, request.exchange, context.dialect)
     }
 
@@ -158,14 +167,14 @@
     }
 
     /** Marks the request as ended, and logs and counts [outcome]; later outcomes are ignored. */
-    protected fun recordOutcome(outcome: String, status: Int?) {
+    protected fun recordOutcome(outcome: String, status: Int?, isRefused: Boolean = false) {
         if (hasEnded) return
         hasEnded = true
         // A timer would keep the request in memory until it is due.
         timers.forEach { it.cancel(false) }
         timers.clear()
         val nowMillis = context.nowMillis()
-        context.recordSessionEnd(this, request.route, nowMillis - request.arrivedMillis)
+        context.recordSessionEnd(this, request, nowMillis - request.arrivedMillis, isRefused)
         SessionLog.ended(request, outcome, status, timing, nowMillis)
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -8,17 +8,21 @@
 import marigoldward.core.dispatch.RetryBudgetShare
 import marigoldward.core.dispatch.ShutdownAdmission
 import marigoldward.core.model.PoolName
-import marigoldward.core.routes.Route
+import marigoldward.core.workspaces.Workspace
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.GatewayMetrics
+import marigoldward.gateway.demand.MeasuredDemand
 import marigoldward.gateway.loggedTask
 import marigoldward.gateway.upstream.UpstreamPool
+import marigoldward.gateway.usage.MeteredUsage
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.TimeUnit
 
 /**
  * The state and services that all sessions share. Confined to the event loop thread.
  *
+ * @param usage counts the requests of workspaces, or null if they are not counted
+ * @property demand counts the demand for engines, or null if it is not counted
  * @param budgetSharerCount returns the number of gateways that share the slack of the retry budgets
  */
 internal class SessionContext(
@@ -28,6 +32,8 @@
     val pool: UpstreamPool,
     val crashes: CrashSuspicions,
     private val newRetryBudget: () -> RetryBudgetShare,
+    private val usage: MeteredUsage? = null,
+    val demand: MeasuredDemand? = null,
     private val budgetSharerCount: () -> Int,
 ) {
     private val activeSessions = LinkedHashSet<Session>()
@@ -48,10 +54,16 @@
         activeSessions.add(session)
     }
 
-    /** Records that [session], whose request is on [route], has ended after [durationMillis]. */
-    fun recordSessionEnd(session: Session, route: Route, durationMillis: Long) {
+    /** Records that [session], which serves [request], has ended after [durationMillis]. */
+    fun recordSessionEnd(session: Session, request: SessionRequest, durationMillis: Long, isRefused: Boolean) {
+        demand?.recordEnd(request.serviceName, isRefused)
         activeSessions.remove(session)
-        shutdownAdmission.recordEnd(route.name, durationMillis, nowMillis())
+        shutdownAdmission.recordEnd(request.route.name, durationMillis, nowMillis())
+    }
+
+    /** Counts a request of [workspace] that began to run at [monotonicMillis], if usage is counted. */
+    fun recordBegun(workspace: Workspace, monotonicMillis: Long) {
+        usage?.recordBegun(workspace, monotonicMillis)
     }
 
     /** Ends all sessions, as the gateway is about to exit; those first that wait, so that none of them is sent. */
@@ -60,7 +72,10 @@
     }
 
     /** Counts a request for [service], from which retries may be taken later. */
-    fun recordRequest(service: PoolName) = retryBudget(service).recordRequest(nowMillis())
+    fun recordRequest(service: PoolName) {
+        demand?.recordRequest(service)
+        retryBudget(service).recordRequest(nowMillis())
+    }
 
     /** Takes one retry from this gateway's share of the retry budget of [service]; returns false if nothing is left. */
     fun tryTakeRetry(service: PoolName): Boolean {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -141,10 +141,11 @@
     ): Dialect.ForwardOptions = Dialect.ForwardOptions(
         upstream.id,
         remainingMillis,
-        request.route.priority,
+        request.priority,
         step,
         lastEventId,
         cacheSource?.address,
+        request.identity,
     )
 
     /**
@@ -326,7 +327,9 @@
             }
             if (bytes.size() == 0) return
             if (suspectsAtFirstEvent == null) suspectsAtFirstEvent = currentSuspects()
+            recordBegun(context.nowMillis())
             attempt().recordPromptReady()
+            recordOutput(events.size)
             sendPart(bytes.toByteArray())
             if (!request.exchange.isWritable) {
                 attempt().pauseReading()
@@ -334,6 +337,11 @@
             }
         }
 
+        private fun recordOutput(eventCount: Int) {
+            val tokensPerEvent = request.service.engine?.tokensPerEvent ?: return
+            context.demand?.recordOutput(request.serviceName, eventCount * tokensPerEvent)
+        }
+
         private fun sendPart(bytes: ByteArray) {
             beginResponse()
             recordPartSent()
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -51,6 +51,9 @@
             return context.nowMillis() - maxOf(attempt.startedMillis, lastMillis ?: attempt.startedMillis)
         }
 
+    /** When the request was sent, in milliseconds of monotonic time. */
+    val startedMillis: Long get() = attempt.startedMillis
+
     /** Whether bytes of the response were received. */
     val hasAnswerBegun: Boolean get() = lastReceivedMillis != null
 
@@ -79,6 +82,7 @@
         val nowMillis = context.nowMillis()
         val prompt = request.metadata.prompt.takeIf { upstream.stage != null }
         attempt = context.dispatcher.recordStart(upstream.id, prompt, prefillTokens, nowMillis)
+        if (attempt.isPrefillPending && prompt != null) context.demand?.recordPrompt(request.serviceName, prefillTokens)
         val remainingMillis = request.deadlineMillis - nowMillis
         val record = context.dispatcher.recordOrNull(upstream.id)
         SessionLog.sent(request, attempt, step, cacheSource, record, remainingMillis)
--- a/wire/src/main/kotlin/marigoldward/wire/feed/EntryExchangeRequest.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/EntryExchangeRequest.kt
@@ -1,7 +1,9 @@
 package marigoldward.wire.feed
 
 import kotlinx.serialization.Serializable
+import marigoldward.core.capacity.ServiceDemand
 import marigoldward.core.model.InstanceId
+import marigoldward.core.usage.UsageReport
 
 /**
  * What an entry reports to the control instance that leads. The instance that the entry follows passes it on.
@@ -13,6 +15,7 @@
  * @property sequence increases with each request of the process
  * @property epochMillis the entry's time of day when the request was made, in milliseconds since 1970
  * @property usage the usage windows with changes that the leader has not confirmed, or null if usage is not metered
+ * @property isForwarded whether a control instance has passed the request on, so that it is not passed on again
  * @property demand the demand for each service with engines, or empty if it is not measured
  */
 @Serializable
@@ -23,4 +26,5 @@
     val epochMillis: Long,
     val usage: UsageReport? = null,
     val demand: List<ServiceDemand> = emptyList(),
+    val isForwarded: Boolean = false,
 )
--- a/wire/src/main/kotlin/marigoldward/wire/feed/FeedRpc.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/FeedRpc.kt
@@ -16,11 +16,4 @@
     /** Reports crashes of upstreams. Only the leader accepts reports. */
     public val REPORT_CRASHES: MethodDescriptor<CrashReport, CrashReportReply> =
         unaryMethod(SERVICE, "ReportCrashes", CrashReport.serializer(), CrashReportReply.serializer())
-
-    /**
-     * Reports counts of an entry to the leader, and returns which route configuration is the newest. Any control instance
-     * accepts it; one that does not lead passes it on to the leader.
-     */
-    public val EXCHANGE: MethodDescriptor<EntryExchangeRequest, EntryExchangeReply> =
-        unaryMethod(SERVICE, "Exchange", EntryExchangeRequest.serializer(), EntryExchangeReply.serializer())
 }
