Treat an answer without a status of HTTP as none

An engine in trouble sent an answer whose status was 000. Such an answer now ends the call as a broken one, so that the request may have run. An order to an engine that is answered so counted as refused though it may have been accepted; it is unknown now.

--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamConnection.kt
@@ -147,9 +147,7 @@
             return
         }
         if (message.decoderResult().isFailure) {
-            fail(UpstreamFailure.Broken("not an answer: ${message.decoderResult().cause().message}"))
-            channel.close()
-            return
+            return breakOff("not an answer: ${message.decoderResult().cause().message}")
         }
         if (message is HttpResponse) onResponseHead(current, message)
         if (message is HttpContent && call === current) onContent(current, message)
@@ -165,6 +163,7 @@
 
     private fun onResponseHead(current: UpstreamCall, response: HttpResponse) {
         val head = ResponseDecoder.headOf(response)
+        if (head.status !in STATUSES) return breakOff("not an answer: status ${head.status}")
         if (head.status in INFORMATIONAL_STATUSES) return skipResponse()
         when (val answered = sent.requestAnsweredBy(head)) {
             AnsweredRequest.Current -> onOwnResponse(current, head)
@@ -245,6 +244,12 @@
         ended.listener.onEnd()
     }
 
+    /** Ends the call and the connection, because what was received is no answer, for [reason]. */
+    private fun breakOff(reason: String) {
+        fail(UpstreamFailure.Broken(reason))
+        channel.close()
+    }
+
     private fun fail(failure: UpstreamFailure) {
         val current = call ?: return
         letGo(current)
@@ -264,6 +269,9 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
+
+        /** The statuses of HTTP. The decoder accepts any number. */
+        val STATUSES = 100..599
         val INFORMATIONAL_STATUSES = 100..199
 
         /** Interim answers and late ones to other requests; a sound upstream sends a few. */
