Report each usage window once, and write calls only with a fresh confirmation

* Nothing bounded the time between the confirmation of the term and the write of a call.
ConfirmedToken counts it from the question by both clocks, and HttpProviderCalls checks it on the open connection right before the write.
* A confirmation that failed for a moment cleared the ledger, though entries report again only to a new term.
What is gathered belongs to a term now.
* A leader took changes since the last leader for all counts of an entry and closed windows with too few.
Only a full report makes windows complete.
* A reply from a new term confirmed a report that its ledger never had, and a late reply confirmed the report sent after it.
* Windows were closed without any entry heard of.
The first window was chosen by one entry's clock, and requests before it knew the time were counted by its own clock; they are held now, for a minute at most.
* Absurd counts, names, windows and numbers of processes were taken as they came.
* An accepted report was sent again while its mark was not committed.
A failing provider made a log line for each call.

--- a/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
@@ -58,9 +58,14 @@
         val current = if (services.isEmpty()) null else leaderTerm.tokenOrNull()
         if (current != token) {
             planners = emptyMap()
-            current?.let { DutyMetrics.recordHolder(ProviderDuty.ENGINE_ORDERS, holder, it) }
+            if (current == null) {
+                DutyMetrics.recordNotHolder(ProviderDuty.ENGINE_ORDERS, holder)
+            } else {
+                DutyMetrics.recordHolder(ProviderDuty.ENGINE_ORDERS, holder, current)
+            }
         }
-        token = current ?: return
+        token = current
+        if (current == null) return
         val reading = directory() ?: return
         if (MonotonicClock.nowMillis() - reading.readMillis > MAX_DIRECTORY_AGE_MILLIS) return
         services.forEach { (service, rules) -> plan(service, rules, reading.upstreams) }
@@ -85,7 +90,8 @@
         val subject = Subject(service, order.dataCentre)
         val startMillis = MonotonicClock.nowMillis()
         if (startMillis < (blockedUntilMillis[subject] ?: Long.MIN_VALUE)) return
-        val current = leaderTerm.tokenOrNull() ?: return
+        val confirmed = leaderTerm.confirmedOrNull() ?: return
+        val current = confirmed.token
         if (current != token) return
         val call = ProviderCalls.EngineOrder(
             holder,
@@ -95,7 +101,7 @@
             order.count,
             order.isReclaimable,
         )
-        val result = calls.orderEngines(call)
+        val result = calls.orderEngines(call) { confirmed.mayWriteAt(LeaderTerm.readClocks()) }
         DutyMetrics.recordCall(ProviderDuty.ENGINE_ORDERS, result)
         val nowMillis = MonotonicClock.nowMillis()
         log.info("engines_ordered") {
@@ -119,6 +125,7 @@
             ProviderCalls.CallResult.Accepted -> CapacityPlanner.OrderResult.ACCEPTED
             ProviderCalls.CallResult.Conflict ->
                 if (order.isReclaimable) CapacityPlanner.OrderResult.SCARCE else CapacityPlanner.OrderResult.FAILED
+            is ProviderCalls.CallResult.NotSent,
             is ProviderCalls.CallResult.Refused,
             is ProviderCalls.CallResult.TryLater,
             is ProviderCalls.CallResult.Unknown,
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -132,7 +132,13 @@
     private fun newUsageReporting(provider: Provider): UsageReporting? {
         val windowMillis = settings.duties.usageWindowMillis ?: return null
         val dueMillis = settings.duties.usageDueMillis ?: return null
-        val exchange = UsageExchange(UsageWindows(windowMillis), dueMillis) { controlState.usage.lastWindow }
+        val exchange = UsageExchange(
+            UsageWindows(windowMillis),
+            dueMillis,
+            recordedWindow = { controlState.usage.lastWindow },
+            term = { replica.status.term },
+            readClocks = LeaderTerm::readClocks,
+        )
         val duty = UsageDuty(
             settings.duties.holder,
             provider.calls,
--- a/control/src/main/kotlin/marigoldward/control/duties/DutyMetrics.kt
+++ b/control/src/main/kotlin/marigoldward/control/duties/DutyMetrics.kt
@@ -12,7 +12,7 @@
         Gauge
             .builder()
             .name("marigoldward_duty_token")
-            .help("The fencing token with which this instance last held a duty")
+            .help("The fencing token with which this instance holds a duty; absent if it does not")
             .labelNames("duty", "holder")
             .register()
     private val due: Gauge =
@@ -40,6 +40,16 @@
         }
     }
 
+    /** Records that this instance no longer holds [duty], so that only the present holder shows a token. */
+    fun recordNotHolder(duty: ProviderDuty, holder: String) {
+        token.remove(label(duty), holder)
+        due.labelValues(label(duty)).set(0.0)
+        log.info("duty_not_held") {
+            field("duty", label(duty))
+            field("holder", holder)
+        }
+    }
+
     fun recordDue(duty: ProviderDuty, count: Int) = due.labelValues(label(duty)).set(count.toDouble())
 
     fun recordWindow(window: Long) = lastWindow.set(window.toDouble())
@@ -50,6 +60,7 @@
             ProviderCalls.CallResult.Conflict -> "conflict"
             is ProviderCalls.CallResult.TryLater -> "try_later"
             is ProviderCalls.CallResult.Refused -> "refused"
+            is ProviderCalls.CallResult.NotSent -> "not_sent"
             is ProviderCalls.CallResult.Unknown -> "unknown"
         }
         calls.labelValues(label(duty), name).inc()
--- a/control/src/main/kotlin/marigoldward/control/duties/ProviderCalls.kt
+++ b/control/src/main/kotlin/marigoldward/control/duties/ProviderCalls.kt
@@ -4,13 +4,18 @@
 import marigoldward.core.model.FencingToken
 import marigoldward.core.model.PoolName
 
-/** Calls to the platform's provider that are the duty of one control instance at a time. Every call waits for its answer. */
+/**
+ * Calls to the platform's provider that are the duty of one control instance at a time. Every call waits for its answer.
+ *
+ * A call is written only if `mayWrite` returns true right before that, as the holder's token must have been confirmed a
+ * short time ago, and connecting may take long.
+ */
 public interface ProviderCalls {
     /** Reports the usage of one window. An exact repeat has no further effect. */
-    public fun reportUsage(report: UsageCall): CallResult
+    public fun reportUsage(report: UsageCall, mayWrite: () -> Boolean): CallResult
 
     /** Sets the number of engines of a service in a data centre. */
-    public fun orderEngines(order: EngineOrder): CallResult
+    public fun orderEngines(order: EngineOrder, mayWrite: () -> Boolean): CallResult
 
     /**
      * The usage of a window.
@@ -54,6 +59,9 @@
         /** The provider refused the call for good, for [reason]. */
         public data class Refused(val reason: String) : CallResult
 
+        /** Nothing of the call was written, for [reason]; it will never be carried out. */
+        public data class NotSent(val reason: String) : CallResult
+
         /** There was no answer, for [reason]; the call may still be carried out. */
         public data class Unknown(val reason: String) : CallResult
     }
--- a/control/src/main/kotlin/marigoldward/control/replica/LeaderTerm.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/LeaderTerm.kt
@@ -1,6 +1,9 @@
 package marigoldward.control.replica
 
+import marigoldward.core.duties.ConfirmedToken
+import marigoldward.core.duties.LeaderTenure
 import marigoldward.core.model.FencingToken
+import marigoldward.core.workspaces.ClockReading
 import marigoldward.support.duty.Duty
 import marigoldward.support.time.MonotonicClock
 import java.util.concurrent.CompletableFuture
@@ -14,20 +17,19 @@
  * A call of the previous leader may still arrive for a while, so a new leader has no right for [takeoverDelayMillis]. Used
  * by one thread; every call waits for a majority to confirm that this replica still leads.
  */
-internal class LeaderTerm(private val replica: Duty<ReplicaDutyEvent>, private val takeoverDelayMillis: Long) {
-    /** The last term in which this replica was found to lead. */
-    private var term = 0L
-    private var sinceMillis = 0L
+internal class LeaderTerm(private val replica: Duty<ReplicaDutyEvent>, takeoverDelayMillis: Long) {
+    private var tenure = LeaderTenure.none(takeoverDelayMillis)
 
     /** Returns the token of the current term, or null unless this replica leads and its takeover delay is over. */
-    fun tokenOrNull(): FencingToken? {
+    fun tokenOrNull(): FencingToken? = confirmedOrNull()?.token
+
+    /** Returns the token of the current term with the time of its confirmation, or null like [tokenOrNull]. */
+    fun confirmedOrNull(): ConfirmedToken? {
+        val askedAt = readClocks()
         val current = confirmedTermOrNull() ?: return null
         val nowMillis = MonotonicClock.nowMillis()
-        if (current != term) {
-            term = current
-            sinceMillis = nowMillis
-        }
-        return if (nowMillis - sinceMillis < takeoverDelayMillis) null else FencingToken.fromNumber(current)
+        tenure = tenure.withConfirmation(current, nowMillis)
+        return tenure.tokenOrNull(nowMillis)?.let { ConfirmedToken(it, askedAt) }
     }
 
     /** Returns the term in which this replica leads, confirmed by a majority, or null. */
@@ -41,7 +43,10 @@
         }
     }
 
-    private companion object {
-        const val CONFIRM_TIMEOUT_MILLIS = 1_000L
+    companion object {
+        private const val CONFIRM_TIMEOUT_MILLIS = 1_000L
+
+        /** Reads the clocks by which the time since a confirmation is measured. */
+        fun readClocks(): ClockReading = ClockReading(MonotonicClock.nowMillis(), System.currentTimeMillis())
     }
 }
--- a/control/src/main/kotlin/marigoldward/control/usage/UsageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/usage/UsageDuty.kt
@@ -8,6 +8,7 @@
 import marigoldward.core.control.ControlOutcome
 import marigoldward.core.control.RecordedUsage
 import marigoldward.core.model.FencingToken
+import marigoldward.core.usage.UsageReporting
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
@@ -29,16 +30,15 @@
     private val calls: ProviderCalls,
     private val leaderTerm: LeaderTerm,
     private val exchange: UsageExchange,
-    private val minCallIntervalMillis: Long,
+    minCallIntervalMillis: Long,
     private val recorded: () -> RecordedUsage,
     private val submit: (ControlCommand) -> SubmitReply,
 ) : AutoCloseable {
     private data object Poll
 
     private var token: FencingToken? = null
-    private var refusedToken: FencingToken? = null
-    private var nextCallMillis = Long.MIN_VALUE
-    private var failures = 0
+    private var reporting = UsageReporting.withInterval(minCallIntervalMillis)
+    private val resultsLog = UsageResultsLog()
     private val thread: Duty<Poll> = Duty.start("usage", RING_EVENTS) { work() }
 
     /** Requests one round of the duty. */
@@ -50,22 +50,27 @@
 
     private fun work() {
         val current = leaderTerm.tokenOrNull()
+        if (current != token) recordHolder(current)
+        token = current ?: return
+        recordClosedWindows(current)
+        reporting.unmarkedWindows(recorded()).take(MAX_MARKED_AT_ONCE).forEach(::mark)
+        reportOldest()
+        DutyMetrics.recordDue(ProviderDuty.USAGE_REPORTS, recorded().unreported.size)
+    }
+
+    private fun recordHolder(current: FencingToken?) {
         if (current == null) {
-            if (token != null) exchange.clear()
+            DutyMetrics.recordNotHolder(ProviderDuty.USAGE_REPORTS, holder)
             token = null
-            return
+        } else {
+            DutyMetrics.recordHolder(ProviderDuty.USAGE_REPORTS, holder, current)
         }
-        if (current != token) DutyMetrics.recordHolder(ProviderDuty.USAGE_REPORTS, holder, current)
-        token = current
-        recordClosedWindows()
-        reportOldest()
-        DutyMetrics.recordDue(ProviderDuty.USAGE_REPORTS, recorded().unreported.size)
     }
 
-    private fun recordClosedWindows() {
+    private fun recordClosedWindows(current: FencingToken) {
         repeat(MAX_RECORDED_AT_ONCE) {
             val nowMillis = MonotonicClock.nowMillis()
-            val closed = exchange.closedWindowOrNull(nowMillis) ?: return
+            val closed = exchange.closedWindowOrNull(current.number, nowMillis) ?: return
             val reply = submit(ControlCommand.RecordUsage(closed.number, closed.counts))
             log.info("usage_recorded") {
                 field("window", closed.number)
@@ -75,42 +80,42 @@
                 field("outcome", reply)
             }
             // Whether one that is unknown was recorded shows in the state when the next round begins.
-            if (reply !is SubmitReply.Committed) return
-            if (reply.outcome == ControlOutcome.Done) exchange.onRecorded(closed.number, nowMillis)
+            if (reply !is SubmitReply.Committed || reply.outcome != ControlOutcome.Done) return
+            exchange.onRecorded(closed.number, nowMillis)
         }
     }
 
     private fun reportOldest() {
-        val nowMillis = MonotonicClock.nowMillis()
-        if (token == refusedToken || nowMillis < nextCallMillis) return
-        val (window, counts) = recorded().unreported.entries.minByOrNull { it.key } ?: return
-        val current = leaderTerm.tokenOrNull() ?: return
-        if (current != token) return
-        val result = calls.reportUsage(ProviderCalls.UsageCall(holder, current, window, counts))
-        log.info("usage_reported") {
-            field("window", window)
-            field("token", current)
-            field("result", result)
-            field("took_ms", MonotonicClock.nowMillis() - nowMillis)
+        val startMillis = MonotonicClock.nowMillis()
+        val held = token ?: return
+        if (reporting.nextWindowOrNull(recorded(), held, startMillis) == null) return
+        val confirmed = leaderTerm.confirmedOrNull()?.takeIf { it.token == held } ?: return
+        // Read after the confirmation, so that the counts are those of the newest state.
+        val state = recorded()
+        val window = reporting.nextWindowOrNull(state, held, startMillis) ?: return
+        val counts = state.unreported.getValue(window).counts
+        val result = calls.reportUsage(ProviderCalls.UsageCall(holder, held, window, counts)) {
+            confirmed.mayWriteAt(LeaderTerm.readClocks())
         }
-        onResult(window, result)
+        val nowMillis = MonotonicClock.nowMillis()
+        resultsLog.record(window, held, result, nowMillis - startMillis, nowMillis)
+        DutyMetrics.recordCall(ProviderDuty.USAGE_REPORTS, result)
+        if (result == ProviderCalls.CallResult.Accepted) DutyMetrics.recordWindow(window)
+        reporting = reporting.afterCall(window, held, toResult(result), state, nowMillis)
+        reporting.unmarkedWindows(recorded()).filter { it == window }.forEach(::mark)
     }
 
-    private fun onResult(window: Long, result: ProviderCalls.CallResult) {
-        DutyMetrics.recordCall(ProviderDuty.USAGE_REPORTS, result)
-        failures = if (result == ProviderCalls.CallResult.Accepted) 0 else failures + 1
-        val backoffMillis = minOf(MAX_BACKOFF_MILLIS, minCallIntervalMillis * (1L shl minOf(failures, MAX_DOUBLINGS)))
-        nextCallMillis = MonotonicClock.nowMillis() + backoffMillis
-        when (result) {
-            ProviderCalls.CallResult.Accepted -> {
-                DutyMetrics.recordWindow(window)
-                submit(ControlCommand.MarkUsageReported(window))
-            }
-            // The provider would refuse this window again, and those after it are still due.
-            is ProviderCalls.CallResult.Refused -> submit(ControlCommand.MarkUsageReported(window))
-            ProviderCalls.CallResult.Conflict -> refusedToken = token
-            is ProviderCalls.CallResult.TryLater, is ProviderCalls.CallResult.Unknown -> Unit
-        }
+    private fun mark(window: Long) {
+        submit(ControlCommand.MarkUsageReported(window))
+    }
+
+    private fun toResult(result: ProviderCalls.CallResult): UsageReporting.Result = when (result) {
+        ProviderCalls.CallResult.Accepted -> UsageReporting.Result.ACCEPTED
+        ProviderCalls.CallResult.Conflict -> UsageReporting.Result.TOKEN_OUTDATED
+        // The provider would refuse this window again, and those after it are still due.
+        is ProviderCalls.CallResult.Refused -> UsageReporting.Result.REFUSED
+        is ProviderCalls.CallResult.NotSent -> UsageReporting.Result.NOT_SENT
+        is ProviderCalls.CallResult.TryLater, is ProviderCalls.CallResult.Unknown -> UsageReporting.Result.REPEATABLE
     }
 
     private companion object {
@@ -118,8 +123,9 @@
 
         /** Bounds one round after a time without a leader. */
         const val MAX_RECORDED_AT_ONCE = 20
-        const val MAX_BACKOFF_MILLIS = 1_000L
-        const val MAX_DOUBLINGS = 6
+
+        /** Bounds one round after a time in which no mark was committed. */
+        const val MAX_MARKED_AT_ONCE = 5
         val log = EventLog.fromName("usage")
     }
 }
--- a/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
+++ b/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
@@ -4,7 +4,7 @@
 import marigoldward.core.usage.TrueTimeEstimator
 import marigoldward.core.usage.UsageLedger
 import marigoldward.core.usage.UsageWindows
-import marigoldward.support.time.MonotonicClock
+import marigoldward.core.workspaces.ClockReading
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 
@@ -12,36 +12,44 @@
  * Gathers the usage and the times of day that entries report to the leader, and tells them the true time and which window is
  * recorded. Thread-safe.
  *
+ * What was gathered in a term is forgotten in the next one, as entries report all again to the leader of a new term only.
+ *
  * @param recordedWindow returns the last window that is recorded, or null
+ * @param term returns the present term
+ * @param readClocks reads the clocks of this instance
  */
 internal class UsageExchange(
     private val windows: UsageWindows,
     private val dueMillis: Long,
     private val recordedWindow: () -> Long?,
+    private val term: () -> Long,
+    private val readClocks: () -> ClockReading,
 ) : ExchangePart {
     private var ledger = UsageLedger.empty(windows, dueMillis)
     private var clocks = TrueTimeEstimator.EMPTY
     private var firstRequestMillis: Long? = null
+    private var gatheredTerm: Long? = null
 
     @Synchronized
     override fun onRequest(request: EntryExchangeRequest, receivedMillis: Long) {
-        clocks = clocks.withSample(request.incarnation, request.epochMillis, receivedMillis)
+        forgetEarlierTerm(term())
+        val own = readClocks()
+        clocks = clocks
+            .withSample(OWN_CLOCK, own.epochMillis, own.monotonicMillis)
+            .withSample(request.incarnation, request.epochMillis, receivedMillis)
         if (firstRequestMillis == null) firstRequestMillis = receivedMillis
         request.usage?.let { ledger = ledger.withReport(request.incarnation, it, receivedMillis) }
-        if (ledger.nextWindow == null && request.usage != null) {
-            ledger = ledger.started(recordedWindow(), request.epochMillis)
-        }
     }
 
     @Synchronized
     override fun addTo(reply: EntryExchangeReply, request: EntryExchangeRequest): EntryExchangeReply =
-        reply.copy(recordedWindow = recordedWindow(), epochMillis = epochMillisOrNull(MonotonicClock.nowMillis()))
+        reply.copy(recordedWindow = recordedWindow(), epochMillis = epochMillisOrNull(readClocks().monotonicMillis))
 
-    /** Returns the next window that is closed at [nowMillis], or null. */
+    /** Returns the next window that is closed at [nowMillis] by what was gathered in [currentTerm], or null. */
     @Synchronized
-    fun closedWindowOrNull(nowMillis: Long): UsageLedger.ClosedWindow? {
+    fun closedWindowOrNull(currentTerm: Long, nowMillis: Long): UsageLedger.ClosedWindow? {
+        if (gatheredTerm != currentTerm) return null
         val epochMillis = epochMillisOrNull(nowMillis) ?: return null
-        if (ledger.nextWindow == null) return null
         ledger = ledger.started(recordedWindow(), epochMillis)
         return ledger.closedWindowOrNull(nowMillis, epochMillis)
     }
@@ -52,9 +60,9 @@
         ledger = ledger.afterRecorded(window, nowMillis)
     }
 
-    /** Forgets what was reported, as this instance no longer leads. */
-    @Synchronized
-    fun clear() {
+    private fun forgetEarlierTerm(currentTerm: Long) {
+        if (currentTerm == gatheredTerm) return
+        gatheredTerm = currentTerm
         ledger = UsageLedger.empty(windows, dueMillis)
         clocks = TrueTimeEstimator.EMPTY
         firstRequestMillis = null
@@ -69,5 +77,8 @@
     private companion object {
         /** Longer than the interval between the requests of an entry. */
         const val COLLECT_MILLIS = 1_500L
+
+        /** Stands for this instance among the incarnations of entries, which are random. */
+        const val OWN_CLOCK = 0L
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -95,6 +95,7 @@
                 if (other == null || !takeFromRetryBudget()) return watchForOverdue(attempt, overdueMillis())
                 attempt.cancel(AttemptEnd.SILENT, "nothing came for $silentMillis ms")
                 recordAttemptEnd(attempt.upstream.id, AttemptEnd.SILENT)
+                recordBegun(attempt.startedMillis)
                 if (!endIfQuarantined()) send(other)
             }
         }
