--- a/control/src/main/kotlin/marigoldward/control/duties/ProviderCalls.kt
+++ b/control/src/main/kotlin/marigoldward/control/duties/ProviderCalls.kt
@@ -5,7 +5,8 @@
 import marigoldward.core.model.PoolName
 
 /**
- * Calls to the platform's provider that are the duty of one control instance at a time. Every call waits for its answer.
+ * Calls to the platform's provider that are the duty of one control instance at a time. Every call waits for its
+ * answer.
  *
  * A call is written only if `mayWrite` returns true right before that, as the holder's token must have been confirmed a
  * short time ago, and connecting may take long.
--- a/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
+++ b/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
@@ -12,7 +12,8 @@
  * Gathers the usage and the times of day that entries report to the leader, and tells them the true time and which window is
  * recorded. Thread-safe.
  *
- * What was gathered in a term is forgotten in the next one, as entries report all again to the leader of a new term only.
+ * What was gathered in a term is forgotten in the next one, as entries report all again to the leader of a new term
+ * only.
  *
  * @param recordedWindow returns the last window that is recorded, or null
  * @param term returns the present term
--- a/control/src/test/kotlin/marigoldward/control/usage/UsageEncodingTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/usage/UsageEncodingTest.kt
@@ -96,7 +96,8 @@
                     ProtoBuf.decodeFromByteArray(ControlCommand.serializer(), bytes) shouldBe command
                 }
             }
-            // States what holds: a replica of the version before can't read them, so they must not be written too early.
+            // States what holds: a replica of the version before can't read them, so they must not be written too
+            // early.
             it("can't be read by the version before") {
                 val bytes = ProtoBuf.encodeToByteArray(ControlCommand.serializer(), commands.first())
                 shouldThrow<SerializationException> {
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageCounter.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageCounter.kt
@@ -33,8 +33,8 @@
     }
 
     /**
-     * Holds a request of [workspace] that began to run at [at] until the true time is known. For longer than a minute it
-     * is not held, but counted by the time of day.
+     * Holds a request of [workspace] that began to run at [at] until the true time is known. For longer than a minute
+     * it is not held, but counted by the time of day.
      */
     public fun hold(workspace: WorkspaceName, at: ClockReading) {
         held.getOrPut(Math.floorDiv(at.monotonicMillis, HELD_MILLIS)) { HashMap() }
@@ -45,7 +45,9 @@
         }
     }
 
-    /** Counts the requests that are held, now that it is [epochMillis] of true time at [nowMillis] of monotonic time. */
+    /**
+     * Counts the requests that are held, now that it is [epochMillis] of true time at [nowMillis] of monotonic time.
+     */
     public fun releaseHeld(epochMillis: Long, nowMillis: Long) {
         held.forEach { (bucket, counts) -> addHeld(bucket, counts, epochMillis - nowMillis) }
         held.clear()
@@ -67,8 +69,8 @@
     }
 
     /**
-     * Returns the report to send at [epochMillis] of true time, or null if that is not known, with the windows that have
-     * changed since the leader confirmed them.
+     * Returns the report to send at [epochMillis] of true time, or null if that is not known, with the windows that
+     * have changed since the leader confirmed them.
      */
     public fun report(epochMillis: Long?): SentReport {
         val changed = open.filterValues { it.changes != it.confirmedChanges }
@@ -83,8 +85,8 @@
     /**
      * Records that the leader of [term] has received [sent], and that the windows up to [recorded] are recorded.
      *
-     * A leader of another term than the one before gets all windows again, those of [sent] too: it may have received them
-     * in an earlier term and forgotten them since.
+     * A leader of another term than the one before gets all windows again, those of [sent] too: it may have received
+     * them in an earlier term and forgotten them since.
      */
     public fun onConfirmed(sent: SentReport, term: Long, recorded: Long?) {
         if (term == leaderTerm) {
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageLedger.kt
@@ -16,7 +16,9 @@
     public val nextWindow: Long?,
     private val processes: PersistentMap<Long, ProcessUsage>,
 ) {
-    /** [completeWindow] is null until the process has sent a full report, as counts of earlier windows may be missing. */
+    /**
+     * [completeWindow] is null until the process has sent a full report, as counts of earlier windows may be missing.
+     */
     private data class ProcessUsage(
         val heardMillis: Long,
         val completeWindow: Long?,
@@ -60,7 +62,8 @@
      * recorded, the first one with a request.
      *
      * Windows that are long overdue and have no requests are left out: no configuration had workspaces then. The first
-     * report comes up to some seconds after the first request, so windows that are not due yet are searched for requests.
+     * report comes up to some seconds after the first request, so windows that are not due yet are searched for
+     * requests.
      */
     public fun started(recordedWindow: Long?, epochMillis: Long): UsageLedger {
         val current = windows.at(epochMillis)
@@ -77,9 +80,9 @@
         processes.values.flatMap { it.counts.keys }.filter { it >= from }.minOrNull()
 
     /**
-     * Returns the next window if it is closed at [epochMillis] of true time, or null. It is closed when every process that
-     * was heard of recently has reported it whole, or when its report is nearly due. No window is closed while no process
-     * is heard of, as its counts would be wrong, or no configuration has workspaces.
+     * Returns the next window if it is closed at [epochMillis] of true time, or null. It is closed when every process
+     * that was heard of recently has reported it whole, or when its report is nearly due. No window is closed while no
+     * process is heard of, as its counts would be wrong, or no configuration has workspaces.
      */
     public fun closedWindowOrNull(nowMillis: Long, epochMillis: Long): ClosedWindow? {
         val next = nextWindow ?: return null
@@ -144,7 +147,9 @@
         /** The time after which a process without open counts is forgotten. */
         private const val FORGOTTEN_MILLIS = 120_000L
 
-        /** The time for the commit and the call between the close of a window and the time at which its report is due. */
+        /**
+         * The time for the commit and the call between the close of a window and the time at which its report is due.
+         */
         private const val MARGIN_MILLIS = 3_000L
 
         /** How long after its due time a window without requests may still be recorded. */
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageReport.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageReport.kt
@@ -6,8 +6,8 @@
  * The requests of each workspace that began to run, by usage window, as one entry has counted them.
  *
  * @property completeWindow the last window in which the entry counts no more requests, or null if there is none
- * @property isFull whether [windows] has all windows that are not recorded; otherwise it has those that have changed since
- *   a leader confirmed them
+ * @property isFull whether [windows] has all windows that are not recorded; otherwise it has those that have changed
+ *   since a leader confirmed them
  */
 @Serializable
 public data class UsageReport(
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageReporting.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageReporting.kt
@@ -39,8 +39,8 @@
     }
 
     /**
-     * Returns the windows that need no more calls but are not marked in [recorded] yet, as the state that was read is old
-     * or the mark was lost.
+     * Returns the windows that need no more calls but are not marked in [recorded] yet, as the state that was read is
+     * old or the mark was lost.
      */
     public fun unmarkedWindows(recorded: RecordedUsage): List<Long> =
         settledWindows.filter { it in recorded.unreported }.sorted()
--- a/core/src/test/kotlin/marigoldward/core/usage/UsageSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/usage/UsageSchedule.kt
@@ -24,8 +24,8 @@
 
 /**
  * Runs the chain from the entries' counts to the provider in simulated time, with faults drawn from [seed]. In a calm
- * schedule a third of the clocks differ by seconds and jump and messages take some time, but nothing is lost and the leader
- * stays.
+ * schedule a third of the clocks differ by seconds and jump and messages take some time, but nothing is lost and the
+ * leader stays.
  */
 internal class UsageSchedule(seed: Long, private val isCalm: Boolean, private val fault: UsageFault? = null) {
     private val random = Random(seed)
@@ -152,8 +152,8 @@
         }
 
         /**
-         * Calls [action] with the confirmed token and the state that was known when the answer of the majority came, which
-         * may be long before the answer is read.
+         * Calls [action] with the confirmed token and the state that was known when the answer of the majority came,
+         * which may be long before the answer is read.
          */
         private fun confirm(action: (ConfirmedToken, RecordedUsage) -> Unit) {
             val askedAt = clocks
@@ -366,7 +366,9 @@
         const val CALL_TIMEOUT_MILLIS = 1_000L
         const val MAX_SKEW_MILLIS = 4_000L
 
-        /** Every third clock is wrong by seconds in a calm schedule, the others by this; in a rough one all are wrong. */
+        /**
+         * Every third clock is wrong by seconds in a calm schedule, the others by this; in a rough one all are wrong.
+         */
         const val WRONG_CLOCK_INTERVAL = 3
         const val SMALL_SKEW_MILLIS = 30L
         const val REQUEST_PERIOD_MILLIS = 20L
--- a/core/src/test/kotlin/marigoldward/core/usage/UsageScheduleTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/usage/UsageScheduleTest.kt
@@ -24,7 +24,7 @@
             }
             // Guards against violations of the provider's rules by holders that freeze, change and lose answers.
             it(
-                "has one set of counts a window, and tokens that never fall, of one holder each, not in the order A, B, A",
+                "has one set of counts a window, and tokens that never fall, not in the order A, B, A",
             ) {
                 val windows = (1..ROUGH_SEEDS).sumOf { seed ->
                     withClue("seed $seed") { UsageSchedule(seed, isCalm = false).run() }
--- a/gateway/src/main/kotlin/marigoldward/gateway/usage/MeteredUsage.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/usage/MeteredUsage.kt
@@ -58,7 +58,9 @@
         }
     }
 
-    /** Returns the true time, or null if the leader has told none since the clocks were set or the machine suspended. */
+    /**
+     * Returns the true time, or null if the leader has told none since the clocks were set or the machine suspended.
+     */
     private fun epochMillisOrNull(now: ClockReading): Long? {
         val known = trueTime ?: return null
         return now.millisSinceOrNull(known.clocks)?.let { known.epochMillis + it }
