--- a/control/src/main/kotlin/marigoldward/control/exchange/EntryExchanges.kt
+++ b/control/src/main/kotlin/marigoldward/control/exchange/EntryExchanges.kt
@@ -36,7 +36,7 @@
 
     private class Waiting(val request: EntryExchangeRequest, val observer: StreamObserver<EntryExchangeReply>)
 
-    private class LeaderClient(val leader: InstanceId, val client: RpcClient)
+    private class LeaderClient(val leader: InstanceId, val client: RpcClient, val createdMillis: Long)
 
     /** The service that entries and other control instances call. */
     val service: ServerServiceDefinition =
@@ -44,16 +44,16 @@
 
     /** Starts a confirmation for the requests that wait, unless one is in progress. Called at short intervals. */
     fun replyToWaiting() {
+        val nowMillis = MonotonicClock.nowMillis()
         val taken = synchronized(lock) {
             val startedMillis = confirmationStartedMillis
-            val nowMillis = MonotonicClock.nowMillis()
             val isInProgress = startedMillis != null && nowMillis - startedMillis < MAX_CONFIRMATION_MILLIS
             if (isInProgress || waiting.isEmpty()) return
             confirmationStartedMillis = nowMillis
             waiting.also { waiting = ArrayList() }
         }
-        val isQueued = replica.offer(ReplicaDutyEvent.ReadRoutes { reply -> onConfirmation(taken, reply) })
-        if (!isQueued) onConfirmation(taken, RoutesReply.NotLeader(status().leader))
+        val isQueued = replica.offer(ReplicaDutyEvent.ReadRoutes { reply -> onConfirmation(nowMillis, taken, reply) })
+        if (!isQueued) onConfirmation(nowMillis, taken, RoutesReply.NotLeader(status().leader))
     }
 
     override fun close() {
@@ -82,8 +82,9 @@
         if (!isCollected) reply(observer, unconfirmed(status().leader))
     }
 
-    private fun onConfirmation(taken: List<Waiting>, routes: RoutesReply) {
-        synchronized(lock) { confirmationStartedMillis = null }
+    private fun onConfirmation(startedMillis: Long, taken: List<Waiting>, routes: RoutesReply) {
+        // The end of one that took too long must not end the next one.
+        synchronized(lock) { if (confirmationStartedMillis == startedMillis) confirmationStartedMillis = null }
         val current = status()
         taken.forEach { item ->
             val reply = when (routes) {
@@ -114,7 +115,7 @@
             known.client.close()
         }
         val client = cluster.rpcAddressOrNull(leader)?.let { RpcClient.to(it, cluster.identity) }
-        leaderClient = client?.let { LeaderClient(leader, it) }
+        leaderClient = client?.let { LeaderClient(leader, it, MonotonicClock.nowMillis()) }
         client
     }
 
@@ -124,11 +125,26 @@
     ) : StreamObserver<EntryExchangeReply> {
         override fun onNext(value: EntryExchangeReply) = reply(observer, value)
 
-        override fun onError(failure: Throwable) = reply(observer, unconfirmed(leader))
+        override fun onError(failure: Throwable) {
+            reply(observer, unconfirmed(leader))
+            dropFailingClient(leader)
+        }
 
         override fun onCompleted() = Unit
     }
 
+    /**
+     * Drops the client after a failure, unless it is new. A client that can't connect waits longer and longer, up to
+     * minutes, before it tries again, during which all calls fail though the leader may be reachable.
+     */
+    private fun dropFailingClient(leader: InstanceId) = synchronized(lock) {
+        val known = leaderClient ?: return
+        if (known.leader != leader) return
+        if (MonotonicClock.nowMillis() - known.createdMillis < MIN_CLIENT_MILLIS) return
+        leaderClient = null
+        known.client.close()
+    }
+
     /** Sends [reply]; the entry may have given up waiting for it. */
     private fun reply(observer: StreamObserver<EntryExchangeReply>, reply: EntryExchangeReply) {
         runCatching {
@@ -149,5 +165,8 @@
 
         /** Shorter than entries wait for a reply, so that they get one from this instance. */
         const val FORWARD_TIMEOUT_MILLIS = 400L
+
+        /** Bounds how many connections to a leader that doesn't answer are opened. */
+        const val MIN_CLIENT_MILLIS = 2_000L
     }
 }
--- a/core/src/main/kotlin/marigoldward/core/workspaces/Access.kt
+++ b/core/src/main/kotlin/marigoldward/core/workspaces/Access.kt
@@ -4,8 +4,8 @@
 
 /** What the key of a request entitles it to. */
 public sealed interface Access {
-    /** Whether the answer depends on the key of the request. */
-    public val needsKey: Boolean get() = this is Granted || this == Denied
+    /** Whether the answer depends on which keys the configuration has. */
+    public val dependsOnKeys: Boolean get() = this is Granted || this == UnknownKey
 
     /** The configuration has no workspaces. */
     public data object NoWorkspaces : Access
@@ -16,8 +16,11 @@
     /** The key belongs to [workspace]. */
     public data class Granted(val workspace: Workspace) : Access
 
-    /** The key is missing, or belongs to no workspace. */
-    public data object Denied : Access
+    /** There is no key, or more than one. */
+    public data object NoKey : Access
+
+    /** The key belongs to no workspace. */
+    public data object UnknownKey : Access
 
     /** Decides on access. */
     public companion object {
@@ -25,7 +28,8 @@
         public fun of(workspaces: Workspaces?, route: Route, key: String?): Access = when {
             workspaces == null -> NoWorkspaces
             route.isPublic -> Public
-            else -> key?.let(workspaces::ofKeyOrNull)?.let(::Granted) ?: Denied
+            key.isNullOrEmpty() -> NoKey
+            else -> workspaces.ofKeyOrNull(key)?.let(::Granted) ?: UnknownKey
         }
     }
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -4,11 +4,16 @@
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import marigoldward.core.routes.Route
+import marigoldward.core.workspaces.WorkspaceLabels
+import marigoldward.core.workspaces.WorkspaceName
 import marigoldward.gateway.session.ResponseTiming
 
 /** The metrics of a gateway. */
 internal object GatewayMetrics {
     private const val MILLIS_PER_SECOND = 1_000.0
+
+    /** How many workspaces have a time series of their own; bounds the size of the page and the memory for it. */
+    private const val MAX_WORKSPACES = 50
     private val BUCKET_BOUNDS_SECONDS = doubleArrayOf(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0)
 
     val connectionsOpened: Counter =
@@ -58,12 +63,29 @@
             .help("Connections closed on a request that was read, by why")
             .labelNames("reason")
             .register()
-    val keysDenied: Counter =
+    private val keysDenied: Counter =
         Counter
             .builder()
             .name("marigoldward_keys_denied_total")
-            .help("Requests whose key is missing or belongs to no workspace")
+            .help("Requests that got 401, by why: no_key or unknown_key")
+            .labelNames("reason")
+            .register()
+    val keysNotConfirmed: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_keys_not_confirmed_total")
+            .help("Requests with a key that got 503 because the configuration was not confirmed as the newest")
             .register()
+    private val workspaceRequests: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_workspace_requests_total")
+            .help(
+                "Requests with a valid key that ended, by workspace (the first 50, and all others) and whether refused",
+            )
+            .labelNames("workspace", "result")
+            .register()
+    private val workspaceLabels = WorkspaceLabels(MAX_WORKSPACES)
     val configurationAgeSeconds: Gauge =
         Gauge
             .builder()
@@ -118,6 +140,11 @@
 
     fun recordRequestDropped(reason: String) = requestsDropped.labelValues(reason).inc()
 
+    fun recordKeyDenied(reason: String) = keysDenied.labelValues(reason).inc()
+
+    fun recordWorkspaceRequest(workspace: WorkspaceName, isRefused: Boolean) =
+        workspaceRequests.labelValues(workspaceLabels.labelOf(workspace), if (isRefused) "refused" else "taken").inc()
+
     fun recordRequestEnd(route: Route, outcome: String, timing: ResponseTiming, totalMillis: Long) {
         val priority = route.priority.toString()
         requests.labelValues(priority, route.kind.name.lowercase(), outcome).inc()
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -100,6 +100,7 @@
             runOnLoop = { loop.execute(loggedTask(it)) },
             isNeeded = { gateway.configuration?.let(::needsExchange) == true },
             currentClient = feed::currentClient,
+            periodMillis = confirmedRoutes?.askPeriodMillis ?: EXCHANGE_PERIOD_MILLIS,
         )
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
@@ -110,7 +111,11 @@
     private var seeds = settings.cluster.seedInstances
 
     private val isReady: Boolean
-        get() = !isShuttingDown && gateway.configuration != null && directoryBook.upstreams != null
+        get() {
+            val configuration = gateway.configuration ?: return false
+            if (isShuttingDown || directoryBook.upstreams == null) return false
+            return confirmedRoutes?.isStartOver(configuration) ?: true
+        }
 
     /** Replaces the seed control instances. */
     public fun changeSeeds(seeds: List<InstanceId>) {
@@ -290,6 +295,7 @@
         private const val LOOP_CALL_TIMEOUT_MILLIS = 1_000L
         private const val FEED_CHECK_INTERVAL_MILLIS = 200L
         private const val EXCHANGE_CHECK_INTERVAL_MILLIS = 100L
+        private const val EXCHANGE_PERIOD_MILLIS = 1_000L
         private const val DIRECTORY_CHECK_INTERVAL_MILLIS = 300L
         private const val POOL_CHECK_INTERVAL_MILLIS = 500L
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -168,13 +168,16 @@
 
     private fun handle(message: HttpObject) {
         if (message.decoderResult().isFailure) {
-            rejectRequest(statusOf(message.decoderResult().cause()), message.decoderResult().cause().message)
+            rejectRequest(statusOf(message.decoderResult().cause()), reasonOf(message.decoderResult().cause()))
             return
         }
         if (message is HttpRequest) onRequestHead(message)
         if (message is HttpContent) onRequestContent(message)
     }
 
+    /** Returns the message of [cause] without the parts of the request that it quotes, as one may be a key. */
+    private fun reasonOf(cause: Throwable): String = cause.message.orEmpty().takeWhile { it !in "':[" }.trim()
+
     private fun statusOf(cause: Throwable): Int = when (cause) {
         is TooLongHttpHeaderException -> HEADERS_TOO_LARGE
         is TooLongHttpLineException -> HEADERS_TOO_LARGE
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlExchange.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlExchange.kt
@@ -18,6 +18,7 @@
  * @param runOnLoop runs an action on the event loop thread
  * @param isNeeded returns whether the configuration in force asks for the exchange
  * @param currentClient returns the client of the followed control instance, or null if there is none
+ * @param periodMillis the time from the end of a request until the next one, in milliseconds
  */
 internal class ControlExchange(
     private val entry: InstanceId,
@@ -25,6 +26,7 @@
     private val runOnLoop: (() -> Unit) -> Unit,
     private val isNeeded: () -> Boolean,
     private val currentClient: () -> RpcClient?,
+    private val periodMillis: Long,
 ) {
     private val incarnation = Random.nextLong()
     private var lastSequence = 0L
@@ -63,7 +65,7 @@
     private fun onEnd(sequence: Long, isConfirmed: Boolean, reason: String?) {
         if (sequence != lastSequence || sentMillis == null) return
         sentMillis = null
-        nextMillis = MonotonicClock.nowMillis() + if (isConfirmed) PERIOD_MILLIS else RETRY_MILLIS
+        nextMillis = MonotonicClock.nowMillis() + if (isConfirmed) periodMillis else RETRY_MILLIS
         if (isConfirmed == wasConfirmed) return
         wasConfirmed = isConfirmed
         log.info(if (isConfirmed) "exchange_regained" else "exchange_lost") {
@@ -82,8 +84,7 @@
     }
 
     private companion object {
-        const val PERIOD_MILLIS = 1_000L
-        const val RETRY_MILLIS = 200L
+        const val RETRY_MILLIS = 100L
 
         /** Several requests have to fit within the time for which a confirmation counts. */
         const val TIMEOUT_MILLIS = 500L
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -74,16 +74,26 @@
         val access = Access.of(configuration.workspaces, route, metadata.apiKey)
         when {
             // A key that is unknown here may have been added by a configuration that this process has not received.
-            access.needsKey && !isConfigurationConfirmed(configuration) ->
+            access.dependsOnKeys && !isConfigurationConfirmed(configuration) -> {
+                GatewayMetrics.keysNotConfirmed.inc()
                 sendNotRun(exchange, metadata, SessionEnd.NotRun("configuration_not_confirmed", RETRY_AFTER_MILLIS))
-            access == Access.Denied -> {
-                GatewayMetrics.keysDenied.inc()
-                rejectRequest(exchange, metadata, UNAUTHORIZED, "no_valid_key", configuration)
             }
+            access == Access.NoKey -> denyKey(exchange, metadata, "no_key", configuration)
+            access == Access.UnknownKey -> denyKey(exchange, metadata, "unknown_key", configuration)
             else -> serve(exchange, metadata, id, route, configuration, access)
         }
     }
 
+    private fun denyKey(
+        exchange: CallerExchange,
+        metadata: Dialect.RequestMetadata,
+        reason: String,
+        configuration: RouteConfiguration,
+    ) {
+        GatewayMetrics.recordKeyDenied(reason)
+        rejectRequest(exchange, metadata, UNAUTHORIZED, reason, configuration)
+    }
+
     private fun serve(
         exchange: CallerExchange,
         metadata: Dialect.RequestMetadata,
@@ -148,7 +158,10 @@
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
 
-        /** The `Retry-After` of requests that the gateway has no configuration or no memory for, in milliseconds. */
+        /**
+         * The `Retry-After` of requests that the gateway has no configuration, no confirmation of it or no memory for, in
+         * milliseconds. A question about the newest configuration has been answered or has failed within that time.
+         */
         const val RETRY_AFTER_MILLIS = 500L
         val log = EventLog.fromName("gateway")
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -5,6 +5,7 @@
 import marigoldward.core.dispatch.AttemptHistory
 import marigoldward.core.dispatch.RetryRules
 import marigoldward.core.model.UpstreamId
+import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.message.ResponseHead
 import java.util.concurrent.Future
 
@@ -176,6 +177,7 @@
         val nowMillis = context.nowMillis()
         context.recordSessionEnd(this, request, nowMillis - request.arrivedMillis, isRefused)
         SessionLog.ended(request, outcome, status, timing, nowMillis)
+        request.workspace?.let { GatewayMetrics.recordWorkspaceRequest(it.name, isRefused) }
     }
 
     private fun onCallerGone() {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionLog.kt
@@ -76,6 +76,7 @@
         log.info("ended") {
             field("request", request.id)
             field("route", request.route.name)
+            request.workspace?.let { field("workspace", it.name) }
             field("outcome", outcome)
             field("status", status)
             field("first_ms", timing.firstPartMillis)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionRequest.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionRequest.kt
@@ -42,7 +42,7 @@
         get() = when (access) {
             Access.NoWorkspaces -> Dialect.Identity.AsReceived
             is Access.Granted -> Dialect.Identity.Known(access.workspace.name)
-            Access.Public, Access.Denied -> Dialect.Identity.Anonymous
+            Access.Public, Access.NoKey, Access.UnknownKey -> Dialect.Identity.Anonymous
         }
 
     /** The fingerprints of the parts of the prompt that other requests may share. */
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestDialect.kt
@@ -11,7 +11,7 @@
 
 /**
  * A dialect for tests, with the headers `X-Id`, `X-Wait`, `X-Prompt`, `X-Tokens`, `X-Step`, `X-Cache`, `X-Signed`,
- * `X-Not-Run`, `X-By`, `X-Refuses-For` and `X-Leaving`.
+ * `X-Not-Run`, `X-By`, `X-Refuses-For`, `X-Leaving` and `X-Key`.
  */
 internal object TestDialect : Dialect {
     private val REPLACED_HEADERS = setOf("x-wait", "x-step", "x-cache", "content-length", "expect")
@@ -21,6 +21,7 @@
         deadlineMillis = head.headers.first("X-Wait")?.toLong(),
         prompt = head.headers.first("X-Prompt")?.let { prompt(it, head.headers.first("X-Tokens")?.toInt() ?: 10) },
         lastEventId = head.headers.first("Last-Event-Id"),
+        apiKey = head.headers.all("X-Key").singleOrNull(),
     )
 
     override fun forwardedRequest(head: RequestHead, options: Dialect.ForwardOptions): RequestHead {
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -18,6 +18,7 @@
 import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.ServiceDeclaration
 import marigoldward.core.routes.ServiceShare
+import marigoldward.core.workspaces.Workspace
 import marigoldward.gateway.caller.CallerServer
 import marigoldward.gateway.caller.RequestMemory
 import marigoldward.gateway.session.CrashSuspicions
@@ -33,10 +34,11 @@
 /**
  * A gateway without control instances, which forwards to [upstreams] over real sockets.
  *
- * It has routes for idempotent requests (`/i/`), non-idempotent requests (`/n/`), streams (`/s/`) and resumable streams
- * (`/r/`).
+ * It has routes for idempotent requests (`/i/`), non-idempotent requests (`/n/`), streams (`/s/`), resumable streams
+ * (`/r/`) and idempotent requests that need no key (`/p/`).
  *
  * @param upstreams the address of each upstream, and the stage of an engine or null for a plain service
+ * @param workspaces the workspaces of the configuration, or null if it has none
  * @param handlingMillis how long the event loop is busy with each request, as on a slow processor
  */
 internal class TestGateway(
@@ -48,7 +50,12 @@
     private val handlingMillis: Long = 0,
     val memory: RequestMemory = RequestMemory.ofHeap(),
     private val retryBudgetSlack: Int = 64,
+    private val workspaces: List<Workspace>? = null,
 ) : Closeable {
+    /** Whether keys of the configuration may be accepted. */
+    @Volatile
+    var isConfirmed = true
+
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val dispatcher = Dispatcher(DATA_CENTRE, PlacementCosts.DEFAULT, 1)
@@ -64,7 +71,7 @@
             newRetryBudget = { RetryBudgetShare(0.2, retryBudgetSlack, 10_000) },
             budgetSharerCount = { 1 },
         )
-    private val gateway = Gateway(context, Random(1))
+    private val gateway = Gateway(context, Random(1)) { isConfirmed }
     val server = CallerServer(loop, { limits }, memory) { exchange ->
         Thread.sleep(handlingMillis)
         check(exchange.request.head.path != FAILING_PATH) { "a fault of the gateway" }
@@ -123,8 +130,9 @@
                 route("/n/", RequestKind.NON_IDEMPOTENT, 2, timeoutMillis),
                 route("/s/", RequestKind.STREAM, 2, timeoutMillis),
                 route("/r/", RequestKind.STREAM, 2, timeoutMillis).copy(isResumable = true),
+                route("/p/", RequestKind.IDEMPOTENT, 2, timeoutMillis).copy(isPublic = true),
             )
-        return checkNotNull(RouteConfiguration.check(1, routes, listOf(service), limits).getOrNull())
+        return checkNotNull(RouteConfiguration.check(1, routes, listOf(service), limits, workspaces).getOrNull())
     }
 
     private fun route(prefix: String, kind: RequestKind, attempts: Int, timeoutMillis: Long): Route = Route(
