--- a/bench/src/main/kotlin/marigoldward/bench/micro/Main.kt
+++ b/bench/src/main/kotlin/marigoldward/bench/micro/Main.kt
@@ -18,11 +18,12 @@
 private const val ROUNDS = 5_000
 private const val NANOS_PER_MICRO = 1_000.0
 
-/** Measures the time and allocation of one routing decision and the time of one claim at several sizes. */
+/** Measures the time of one routing decision, one claim and one look-up of a key at several sizes. */
 public fun main(arguments: Array<String>) {
     val root = File(arguments.firstOrNull() ?: ".")
     listOf(10, 100, 1_000, 7_700).forEach { engines -> RoutingBenchmark(root, engines).print() }
     listOf(1_000, 10_000, 100_000).forEach(::printClaimTime)
+    listOf(10, 1_000, 100_000).forEach(::printKeyLookUpTime)
 }
 
 /** Measures the routing of requests to a pool of [engines] engines. */
@@ -71,7 +72,7 @@
 private fun claim(number: Int): ControlCommand =
     ControlCommand.ClaimKey(IdempotencyKey(CallerId.parse("caller"), "key-$number"), "attempt-$number", "hash", 0)
 
-private fun allocatedBytes(): Long {
+internal fun allocatedBytes(): Long {
     val bean = ManagementFactory.getThreadMXBean() as com.sun.management.ThreadMXBean
     return bean.getThreadAllocatedBytes(Thread.currentThread().id)
 }
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -104,6 +104,7 @@
         )
     private val crashReporter = CrashReporter(settings, crashes, context::schedule) { feed.current }
     private val directory = DirectoryDuty(directorySource) { reading -> loop.execute { onDirectoryRead(reading) } }
+    private var wereKeysAccepted = false
     private var isShuttingDown = false
     private var isClosed = false
 
@@ -176,7 +177,10 @@
 
     private fun maintainExchange() {
         val version = gateway.configuration?.version ?: return
-        if (confirmedRoutes?.isConfirmed(version) == false) exchange.requestNow()
+        val isConfirmed = confirmedRoutes?.isConfirmed(version) ?: true
+        // Once only: a newer configuration that this process can't read would have it ask without a pause for ever.
+        if (wereKeysAccepted && !isConfirmed) exchange.requestNow()
+        wereKeysAccepted = isConfirmed
         exchange.maintain()
         confirmedRoutes?.recordAge(version)
     }
