Plan engines by need, scarcity and loss, and repeat only orders that were not answered

An order without an answer is only repeated as it was. Regular engines follow a conflict in the same round. Gauges show wanted, serving and needed.

--- a/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
@@ -18,11 +18,15 @@
 import marigoldward.support.time.MonotonicClock
 
 /**
- * Orders engines from the provider while this replica leads, as [CapacityPlanner] decides. One thread does one call at a
- * time.
+ * Orders engines from the provider while this replica leads, as [CapacityPlanner] decides. One thread does one call at
+ * a time.
  *
- * An order without an answer may still be carried out seconds later, so its data centre gets no other one until it can't
- * arrive any more. A new leader takes the engines that are listed for what was ordered.
+ * An order without an answer may still be carried out seconds later, so its data centre gets no other one until it
+ * can't arrive any more; the same one is repeated if it is due. A new leader takes the engines that are listed for what
+ * was ordered.
+ *
+ * A conflict means that there are no such engines, or that the provider has seen a higher token. A majority confirms
+ * right before each call that there is no higher term, so an instance that was replaced makes no further call.
  *
  * @param holder the name under which this instance performs the duty
  * @param scaling returns the services whose engines are ordered, by the configuration in force
@@ -41,8 +45,11 @@
 
     private data class Subject(val service: PoolName, val dataCentre: DataCentre)
 
+    private class UnansweredOrder(val order: CapacityOrder, val untilMillis: Long)
+
     private var planners: Map<PoolName, CapacityPlanner> = emptyMap()
-    private val blockedUntilMillis = HashMap<Subject, Long>()
+    private val unanswered = HashMap<Subject, UnansweredOrder>()
+    private var isStale = false
     private var token: FencingToken? = null
     private val thread: Duty<Poll> = Duty.start("capacity", RING_EVENTS) { work() }
 
@@ -62,31 +69,56 @@
         }
         token = current ?: return
         val reading = directory() ?: return
-        if (MonotonicClock.nowMillis() - reading.readMillis > MAX_DIRECTORY_AGE_MILLIS) return
-        services.forEach { (service, rules) -> plan(service, rules, reading.upstreams) }
+        val ageMillis = MonotonicClock.nowMillis() - reading.readMillis
+        recordAge(ageMillis)
+        if (isStale) return
+        planners = planners.filterKeys(services::containsKey)
+        services.forEach { (service, rules) ->
+            // The second round orders regular engines in place of reclaimable ones that are not to be had.
+            val hasScarcity = plan(service, rules, reading.upstreams)
+            if (hasScarcity) plan(service, rules, reading.upstreams)
+        }
+    }
+
+    private fun recordAge(ageMillis: Long) {
+        val wasStale = isStale
+        isStale = ageMillis > MAX_DIRECTORY_AGE_MILLIS
+        if (isStale && !wasStale) log.warn("engine_orders_paused") { field("directory_age_ms", ageMillis) }
+        if (!isStale && wasStale) log.info("engine_orders_resumed") { field("directory_age_ms", ageMillis) }
     }
 
-    private fun plan(service: PoolName, rules: EngineScaling, upstreams: List<ListedUpstream>) {
+    /** Sends the orders that are due for [service], and returns whether there were no reclaimable engines for one. */
+    private fun plan(service: PoolName, rules: EngineScaling, upstreams: List<ListedUpstream>): Boolean {
         val nowMillis = MonotonicClock.nowMillis()
         val serving = upstreams
-            .filter { it.service == service && !it.isLeaving }
+            .filter { it.service == service }
             .groupBy { it.dataCentre }
             .mapValues { (_, engines) ->
-                val reclaimable = engines.count { it.isReclaimable }
-                EngineCount(engines.size - reclaimable, reclaimable)
+                val (reclaimable, regular) = engines.filterNot { it.isLeaving }.partition { it.isReclaimable }
+                EngineCount(regular.size, reclaimable.size)
             }
-        val planner = planners[service] ?: CapacityPlanner.of(rules)
-        val step = planner.observe(serving, neededEngines(service), nowMillis)
+        val planner = planners[service]?.withScaling(rules) ?: CapacityPlanner.of(rules)
+        val needed = neededEngines(service)
+        val step = planner.observe(serving, needed, nowMillis)
         planners = planners + (service to step.planner)
-        step.orders.forEach { send(service, it, serving[it.dataCentre]) }
+        CapacityMetrics.record(service, step.planner.wanted, serving, needed)
+        val results = step.orders.map { send(service, it, serving[it.dataCentre], needed) }
+        return CapacityPlanner.OrderResult.SCARCE in results
     }
 
-    private fun send(service: PoolName, order: CapacityOrder, serving: EngineCount?) {
+    /** Sends [order] and returns its result, or null if it may not be sent now. */
+    private fun send(
+        service: PoolName,
+        order: CapacityOrder,
+        serving: EngineCount?,
+        needed: Double?,
+    ): CapacityPlanner.OrderResult? {
         val subject = Subject(service, order.dataCentre)
         val startMillis = MonotonicClock.nowMillis()
-        if (startMillis < (blockedUntilMillis[subject] ?: Long.MIN_VALUE)) return
-        val current = leaderTerm.tokenOrNull() ?: return
-        if (current != token) return
+        val earlier = unanswered[subject]?.takeIf { startMillis < it.untilMillis }
+        if (earlier != null && earlier.order != order) return null
+        val current = leaderTerm.tokenOrNull() ?: return null
+        if (current != token) return null
         val call = ProviderCalls.EngineOrder(
             holder,
             current,
@@ -95,7 +127,7 @@
             order.count,
             order.isReclaimable,
         )
-        val result = calls.orderEngines(call)
+        val result = call(call)
         DutyMetrics.recordCall(ProviderDuty.ENGINE_ORDERS, result)
         val nowMillis = MonotonicClock.nowMillis()
         log.info("engines_ordered") {
@@ -104,26 +136,34 @@
             field("count", order.count)
             field("reclaimable", order.isReclaimable)
             field("serving", serving?.let { "${it.regular}+${it.reclaimable}" })
-            field("needed", neededEngines(service)?.let { "%.1f".format(it) })
+            field("needed", needed?.let { "%.1f".format(it) })
             field("token", current)
             field("result", result)
             field("took_ms", nowMillis - startMillis)
         }
-        if (result is ProviderCalls.CallResult.Unknown) blockedUntilMillis[subject] = nowMillis + CALL_LIFETIME_MILLIS
-        val planner = planners.getValue(service).withResult(order, toOrderResult(result, order), nowMillis)
-        planners = planners + (service to planner)
+        if (result is ProviderCalls.CallResult.Unknown) {
+            unanswered[subject] = UnansweredOrder(order, nowMillis + CALL_LIFETIME_MILLIS)
+        }
+        val outcome = toOrderResult(result)
+        planners = planners + (service to planners.getValue(service).withResult(order, outcome, nowMillis))
+        return outcome
     }
 
-    private fun toOrderResult(result: ProviderCalls.CallResult, order: CapacityOrder): CapacityPlanner.OrderResult =
-        when (result) {
-            ProviderCalls.CallResult.Accepted -> CapacityPlanner.OrderResult.ACCEPTED
-            ProviderCalls.CallResult.Conflict ->
-                if (order.isReclaimable) CapacityPlanner.OrderResult.SCARCE else CapacityPlanner.OrderResult.FAILED
-            is ProviderCalls.CallResult.Refused,
-            is ProviderCalls.CallResult.TryLater,
-            is ProviderCalls.CallResult.Unknown,
-            -> CapacityPlanner.OrderResult.FAILED
-        }
+    /** Makes [order]. A failure of any kind must not end the process; it doesn't tell whether the order was sent. */
+    private fun call(order: ProviderCalls.EngineOrder): ProviderCalls.CallResult = try {
+        calls.orderEngines(order)
+    } catch (failure: Throwable) {
+        ProviderCalls.CallResult.Unknown(failure.toString())
+    }
+
+    private fun toOrderResult(result: ProviderCalls.CallResult): CapacityPlanner.OrderResult = when (result) {
+        ProviderCalls.CallResult.Accepted -> CapacityPlanner.OrderResult.ACCEPTED
+        ProviderCalls.CallResult.Conflict -> CapacityPlanner.OrderResult.SCARCE
+        is ProviderCalls.CallResult.Refused,
+        is ProviderCalls.CallResult.TryLater,
+        is ProviderCalls.CallResult.Unknown,
+        -> CapacityPlanner.OrderResult.FAILED
+    }
 
     private companion object {
         const val RING_EVENTS = 2
--- a/core/src/main/kotlin/marigoldward/core/capacity/EngineCount.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/EngineCount.kt
@@ -4,4 +4,8 @@
 public data class EngineCount(val regular: Int, val reclaimable: Int) {
     /** The number of engines of both kinds. */
     val total: Int get() = regular + reclaimable
+
+    internal companion object {
+        val NONE = EngineCount(0, 0)
+    }
 }
--- a/core/src/main/kotlin/marigoldward/core/capacity/EngineScaling.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/EngineScaling.kt
@@ -18,4 +18,7 @@
     val bootMillis: Long,
     val reclaimablePrice: Double?,
     val prices: Map<DataCentre, Double>,
-)
+) {
+    /** Whether there are engines that may be reclaimed and cost less than others. */
+    val hasReclaimable: Boolean get() = reclaimablePrice != null && reclaimablePrice < 1
+}
--- a/core/src/main/kotlin/marigoldward/core/capacity/ServiceDemand.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/ServiceDemand.kt
@@ -10,7 +10,7 @@
  * @property promptTokens the prompt tokens of these requests that were expected not to be in any cache
  * @property outputTokens the tokens that were generated for them
  * @property refused the requests that were refused because no engine could serve them in time
- * @property waiting the requests that wait in the entry now
+ * @property waiting the requests that are in progress in the entry now, those that wait for an engine included
  */
 @Serializable
 public data class ServiceDemand(
--- a/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/StagePlanner.kt
@@ -9,8 +9,8 @@
  * engine changes to decode if the engines in that stage are nearly full and no prompts queue. Immutable: each
  * observation returns the next state.
  *
- * Where engines are ordered and reclaimed while they serve, new ones start in the decode stage. The planner then also keeps
- * the fraction of engines in the prefill stage that it last decided on, without waiting for prompts to queue.
+ * Where engines are ordered and reclaimed while they serve, new ones start in the decode stage. The planner then also
+ * keeps the fraction of engines in the prefill stage that it last decided on, without waiting for prompts to queue.
  *
  * @property prefillQueue the moving average of the running and waiting prompts per engine in the prefill stage
  * @property decodeLoad the moving average of the used fraction of the engines in the decode stage
@@ -154,11 +154,12 @@
     }
 
     /**
-     * Returns changes of engines that have had no order yet to the prefill stage, as far as the fraction in [set] requires
-     * and the load of the decode stage permits, or null if none is due. They are made while other orders are in progress:
-     * an engine that executes one in the decode stage counts as one in the prefill stage.
+     * Returns changes of engines that have had no order yet to the prefill stage, as far as the fraction in [set]
+     * requires and the load of the decode stage permits, or null if none is due. They are made while other orders are
+     * in progress: an engine that executes one in the decode stage counts as one in the prefill stage.
      *
-     * Before the first request, an empty list is returned until the set has settled, since most engines may be replaced.
+     * Before the first request, an empty list is returned until the set has settled, since most engines may be
+     * replaced.
      */
     private fun newEngineChanges(
         set: ChangingSet,
