Let engines that crash come back before they are replaced

Reclaimable engines that crashed were replaced by regular ones at once, two orders for each crash, since only engines that served were counted once an order had been carried out. New tests of crashes and of orders that are accepted and not carried out.

--- a/core/src/main/kotlin/marigoldward/core/capacity/CapacityPlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/CapacityPlanner.kt
@@ -63,7 +63,7 @@
         val covering = current.coveringEngines(nowMillis)
         val orders = current.plans.mapNotNull { (dataCentre, plan) ->
             plan
-                .orderOrNull(scaling, plan.wanted + (covering[dataCentre] ?: 0), settleMillis, nowMillis)
+                .orderOrNull(scaling, plan.wanted + (covering[dataCentre] ?: 0), nowMillis)
                 ?.let { CapacityOrder(dataCentre, it.isReclaimable, it.count) }
         }
         val waiting = orders.associate { order ->
--- a/core/src/main/kotlin/marigoldward/core/capacity/DataCentrePlan.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/DataCentrePlan.kt
@@ -106,7 +106,7 @@
     }
 
     /** Returns the order to send for [target] engines of both kinds, or null if none is due. */
-    fun orderOrNull(scaling: EngineScaling, target: Int, settleMillis: Long, nowMillis: Long): Order? {
+    fun orderOrNull(scaling: EngineScaling, target: Int, nowMillis: Long): Order? {
         val isUnknownAbsence = absentSinceMillis != null && !isAbsentFor(ABSENT_MILLIS, nowMillis)
         if (nowMillis < nextOrderMillis || isUnknownAbsence) return null
         val size = target.coerceIn(scaling.minEngines, scaling.maxEngines)
@@ -116,16 +116,9 @@
         val room = maxOf(0, scaling.maxEngines - maxOf(serving.regular, ordered.regular))
         val reclaimable = minOf(mostReclaimable, maxOf(room, ordered.reclaimable))
         if (reclaimable > ordered.reclaimable && !isDoubleCounted) return Order(isReclaimable = true, reclaimable)
-        // Engines that are ordered and may still come count when more are ordered, but not when others are given up.
-        val coming = if (isSettling(
-                settleMillis,
-                nowMillis,
-            )
-        ) {
-            maxOf(serving.reclaimable, ordered.reclaimable)
-        } else {
-            serving.reclaimable
-        }
+        // What was ordered and is missing may still come, or come back: it counts when more engines are ordered, but not
+        // when others are given up.
+        val coming = maxOf(serving.reclaimable, ordered.reclaimable)
         val regularToHave = minOf(maxOf(reserve, size - coming), scaling.maxEngines - coming)
         val regularToKeep = maxOf(reserve, size - minOf(serving.reclaimable, mostReclaimable))
         return when {
--- a/core/src/test/kotlin/marigoldward/core/capacity/CapacityPlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/capacity/CapacityPlannerTest.kt
@@ -13,7 +13,7 @@
 
 /** Engines of three data centres in virtual time; each starts with [initial] regular ones. */
 private class Fleet(initial: Int, private val stepMillis: Long = 500) {
-    private class Engine(val centre: DataCentre, val isReclaimable: Boolean, val servesFromMillis: Long)
+    private class Engine(val centre: DataCentre, val isReclaimable: Boolean, var servesFromMillis: Long)
 
     private val engines = CENTRES.flatMapTo(ArrayList()) { c -> List(initial) { Engine(c, false, 0) } }
     var planner = CapacityPlanner.of(SCALING)
@@ -21,6 +21,7 @@
     val accepted = ArrayList<CapacityOrder>()
     var isScarce: (DataCentre) -> Boolean = { false }
     var isProviderLost = false
+    var isProviderIdle = false
     var hidden: DataCentre? = null
 
     fun count(centre: DataCentre): EngineCount {
@@ -33,6 +34,12 @@
 
     fun reclaim(centre: DataCentre) = engines.removeIf { it.centre == centre && it.isReclaimable }
 
+    fun crash(centre: DataCentre, forMillis: Long) =
+        engines.filter { it.centre == centre && it.isReclaimable }.take(2).forEach {
+            it.servesFromMillis =
+                nowMillis + forMillis
+        }
+
     /** Runs to [untilMillis]; [demand] is the need by time, and [check] sees the state after each step. */
     fun run(untilMillis: Long, demand: (Long) -> Double?, check: () -> Unit = {}) {
         while (nowMillis < untilMillis) {
@@ -49,6 +56,7 @@
         if (isProviderLost) return CapacityPlanner.OrderResult.FAILED
         if (order.isReclaimable && isScarce(order.dataCentre)) return CapacityPlanner.OrderResult.SCARCE
         accepted += order
+        if (isProviderIdle) return CapacityPlanner.OrderResult.ACCEPTED
         val present = engines.filter { it.centre == order.dataCentre && it.isReclaimable == order.isReclaimable }
         engines -= present.drop(order.count).toSet()
         val added = order.count - present.size
@@ -171,6 +179,37 @@
                 CENTRES.drop(1).sumOf { fleet.count(it).total } shouldBeGreaterThanOrEqual 15
             }
         }
+        describe("engines that crash") {
+            // Guards against an order for each crash.
+            it("are not ordered again while they may come back") {
+                val fleet = Fleet(initial = 5)
+                fleet.run(30_000, { 9.5 })
+                val before = fleet.accepted.size
+                fleet.crash(CENTRES[0], 6_000)
+                fleet.run(60_000, { 9.5 })
+                fleet.accepted.size shouldBe before
+            }
+            it("are replaced if they don't come back") {
+                val fleet = Fleet(initial = 5)
+                fleet.run(30_000, { 9.5 })
+                fleet.crash(CENTRES[0], 600_000)
+                fleet.run(45_000, { 9.5 })
+                fleet.count(CENTRES[0]).total shouldBe 5
+            }
+        }
+        describe("orders that are accepted and not carried out") {
+            // Guards against a plan that waits forever for engines that don't come.
+            it("are followed by orders for regular engines") {
+                val fleet = Fleet(initial = 6)
+                fleet.run(30_000, { 10.0 })
+                fleet.reclaim(CENTRES[1])
+                fleet.isProviderIdle = true
+                fleet.run(31_000, { 10.0 })
+                fleet.isProviderIdle = false
+                fleet.run(44_000, { 10.0 })
+                fleet.count(CENTRES[1]) shouldBe EngineCount(6, 0)
+            }
+        }
         describe("an unknown demand") {
             it("removes no engines") {
                 val fleet = Fleet(initial = 5)
