--- a/core/src/test/kotlin/marigoldward/core/capacity/CapacityPlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/capacity/CapacityPlannerTest.kt
@@ -110,7 +110,7 @@
             // Guards against a remaining fleet too small for the demand, and against repeated orders while engines
             // boot.
             it("leaves enough engines elsewhere, and is replaced in one order") {
-                val fleet = Fleet(initial = 6)
+                val fleet = Fleet(initial = 4)
                 fleet.run(60_000, { 10.0 })
                 fleet.reclaim(CENTRES[1])
                 val before = fleet.accepted.size
