Place work by the speed that upstreams report and show

Upstreams may report, as the fourth figure of their load, how long work takes at the moment. It was dropped, so that instances that were 2.5 times as slow got as much work as the others.

UpstreamSpeed combines the figure, its age and the observed times by kind of work (WorkTimes) relative to peers, and forgets at the rate at which the figure changes. Plain placements weigh queue and work by it, as do the prices of engines and the wait for prefill. Figures outside 10 to 2,000 percent are ignored, factors are bounded to 0.5 to 4, and a single figure counts half. An invalid fourth field leaves the first three valid.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
@@ -9,6 +9,7 @@
  * @property prefillTokens the prompt tokens that the upstream is expected to process, 0 for a plain service
  * @property isPromptPending whether the prompt has still to be processed, or its KV cache to be received
  * @property startedMillis when it was sent, in milliseconds of monotonic time
+ * @property kind the kind of work, for a request to a plain service; null if unknown
  */
 public data class Attempt(
     val number: Long,
@@ -16,6 +17,7 @@
     val prefillTokens: Int,
     val isPromptPending: Boolean,
     val startedMillis: Long,
+    val kind: String? = null,
 ) {
     /** Whether the upstream receives the KV cache of the prompt from another engine. */
     val isCacheTransfer: Boolean get() = prefillTokens == CACHE_TRANSFER_PREFILL_TOKENS
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -23,6 +23,7 @@
     private var averagePrefillDelay = PrefillDelay.NONE
     private var directPrefillRate = DirectPrefillRate.NONE
     private val retentionEstimator = CacheRetentionEstimator()
+    private val workTimes = WorkTimes()
 
     /** The number of gateways that send to the same upstreams, including this one. */
     public var gatewayCount: Int = GatewayCount.UNKNOWN_COUNT
@@ -66,11 +67,12 @@
     /** Whether the upstream [id] is listed and not leaving. */
     public fun acceptsRequests(id: UpstreamId): Boolean = records[id]?.listed?.isLeaving == false
 
-    /** Chooses an upstream of the plain service [service], none of [tried]. */
-    public fun place(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long): Placement {
+    /** Chooses an upstream of the plain service [service], none of [tried], for a request of [kind] (null: unknown). */
+    public fun place(service: PoolName, tried: Set<UpstreamId>, nowMillis: Long, kind: String? = null): Placement {
         val usable = usableRecords(service, tried, nowMillis)
         if (usable.isEmpty()) return Placement.None(reasonForNone(service))
-        val chosen = cheapest(usable) { serviceCost(it, nowMillis) }
+        val workMillis = workTimes.averageOrNull(kind) ?: costs.fullUpstreamMillis
+        val chosen = cheapest(usable) { serviceCost(it, workMillis, nowMillis) }
         return Placement.Single(chosen.listed, 0)
     }
 
@@ -146,10 +148,17 @@
 
     /**
      * Records that a request was sent to [upstream] at [nowMillis], which has to process [prefillTokens] prompt tokens.
+     * [kind] is the kind of work, for a request to a plain service.
      */
-    public fun recordStart(upstream: UpstreamId, prompt: Prompt?, prefillTokens: Int, nowMillis: Long): Attempt {
-        val attempt =
-            Attempt(nextAttemptNumber++, upstream, prefillTokens, isPromptPending = prefillTokens > 0, nowMillis)
+    public fun recordStart(
+        upstream: UpstreamId,
+        prompt: Prompt?,
+        prefillTokens: Int,
+        nowMillis: Long,
+        kind: String? = null,
+    ): Attempt {
+        val isPromptPending = prefillTokens > 0
+        val attempt = Attempt(nextAttemptNumber++, upstream, prefillTokens, isPromptPending, nowMillis, kind)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
             if (prompt == null) counted else withSentPrompt(counted, prompt, attempt)
@@ -173,7 +182,8 @@
             val current = record.attempts[attempt.number]
             if (current == null || !current.isPromptPending) return@update record
             val factor = if (record.listed.stage == EngineStage.PREFILL) 1.0 else costs.decodeStagePrefillFactor
-            val expectedMillis = factor * costs.prefillMillis(current.prefillTokens)
+            val normalMillis = factor * costs.prefillMillis(current.prefillTokens)
+            val expectedMillis = normalMillis * record.speed.factor(nowMillis)
             val delayMillis = maxOf(0.0, nowMillis - current.startedMillis - expectedMillis)
             if (record.listed.stage == EngineStage.PREFILL) {
                 averagePrefillDelay = averagePrefillDelay.averaged(delayMillis, nowMillis)
@@ -194,10 +204,22 @@
             record.copy(
                 attempts = record.attempts.remove(attempt.number),
                 health = record.health.after(end, attempt.startedMillis, nowMillis, hasReceivedBytes),
+                speed = if (end == AttemptEnd.ANSWERED) speedAfter(attempt, record, nowMillis) else record.speed,
             )
         }
     }
 
+    /** Returns the speed of [record] after [attempt] was answered there at [nowMillis]. */
+    private fun speedAfter(attempt: Attempt, record: UpstreamRecord, nowMillis: Long): UpstreamSpeed {
+        val kind = attempt.kind
+        if (kind == null || !record.speed.isReported) return record.speed
+        val tookMillis = maxOf(0L, nowMillis - attempt.startedMillis).toDouble()
+        val averageMillis = workTimes.averageOrNull(kind)
+        workTimes.record(kind, tookMillis, record.speed.figureFactor(nowMillis))
+        if (averageMillis == null) return record.speed
+        return record.speed.withObservedTime(tookMillis, averageMillis, nowMillis)
+    }
+
     /**
      * Records that bytes were received from [upstream] at [nowMillis]; [load] is the load it reported, or null if none.
      * A load that no upstream can have is ignored.
@@ -208,7 +230,12 @@
             if (load == null || !load.isPlausible) {
                 received
             } else {
-                received.copy(report = load, reportMillis = nowMillis, ownAttemptsAtReport = record.attempts.size)
+                received.copy(
+                    report = load,
+                    reportMillis = nowMillis,
+                    ownAttemptsAtReport = record.attempts.size,
+                    speed = load.workPercent?.let { record.speed.withFigure(it, nowMillis) } ?: record.speed,
+                )
             }
         }
     }
@@ -315,9 +342,14 @@
             Placement.Reason.NO_UPSTREAM
         }
 
-    private fun serviceCost(record: UpstreamRecord, nowMillis: Long): Double {
+    /**
+     * Returns the time by which a request that normally takes [workMillis] is expected to end later at the upstream than
+     * at an idle near one of normal speed, with what failures are expected to add.
+     */
+    private fun serviceCost(record: UpstreamRecord, workMillis: Double, nowMillis: Long): Double {
         val ahead = record.requestCount(nowMillis).toDouble() / maxOf(1, record.listed.slots)
-        return ahead * costs.fullUpstreamMillis +
+        val factor = record.speed.factor(nowMillis)
+        return ahead * costs.fullUpstreamMillis * factor + workMillis * (factor - 1) +
             record.health.failureRate * costs.failureMillis +
             coldStartMillis(record) +
             if (record.listed.dataCentre == dataCentre) 0.0 else costs.remoteCallMillis
--- a/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/GenerationPricing.kt
@@ -26,7 +26,8 @@
      * streams.
      */
     fun single(decodeEngine: UpstreamRecord, tokens: Int): Candidate {
-        val prefillMillis = costs.decodeStagePrefillFactor * costs.prefillMillis(tokens, prompt.promptTokens)
+        val prefillMillis = costs.decodeStagePrefillFactor * costs.prefillMillis(tokens, prompt.promptTokens) *
+            decodeEngine.speed.factor(nowMillis)
         val expectedMillis = prefillMillis + firstEventMillis(decodeEngine)
         val price =
             latenessPrice(expectedMillis) + disturbancePrice(decodeEngine, tokens) + repeatedPrefillPrice(tokens) +
@@ -43,7 +44,7 @@
      */
     fun prefillCost(engine: UpstreamRecord, tokens: Int): EngineCost {
         val waitMillis = engine.prefillWaitMillis(costs, averagePrefillDelayMillis, nowMillis)
-        val prefillMillis = costs.prefillMillis(tokens, prompt.promptTokens)
+        val prefillMillis = costs.prefillMillis(tokens, prompt.promptTokens) * engine.speed.factor(nowMillis)
         val price = repeatedPrefillPrice(tokens) + reliabilityPrice(engine) + networkPrice(engine)
         return EngineCost(engine, tokens, waitMillis + prefillMillis, price)
     }
@@ -100,8 +101,10 @@
      * Returns the expected time to the first event, apart from the prefill of this request. An engine receives KV
      * caches one after the other, so those on their way to it are waited for.
      */
-    private fun firstEventMillis(decodeEngine: UpstreamRecord): Double = costs.firstTokenMillis +
-        costs.streamDelayMillis * decodeEngine.requestCount(nowMillis) +
+    private fun firstEventMillis(decodeEngine: UpstreamRecord): Double = (
+        costs.firstTokenMillis +
+            costs.streamDelayMillis * decodeEngine.requestCount(nowMillis)
+        ) * decodeEngine.speed.factor(nowMillis) +
         cacheTransferMillis * (decodeEngine.ownPendingCacheTransfers + decodeEngine.otherWaitingRequests(nowMillis)) +
         decodeEngine.prefillWaitMillis(costs, 0.0, nowMillis)
 
@@ -120,7 +123,9 @@
         val steps =
             minOf(request.engine.tokensPerEvent.toLong(), ownSteps + prefillSteps(tokens)) +
                 otherStepsPerMilli * eventMillis
-        val pauseMillis = eventMillis + steps * costs.decodeStagePrefillFactor * costs.prefillMillis(TOKENS_PER_STEP)
+        val normalPauseMillis =
+            eventMillis + steps * costs.decodeStagePrefillFactor * costs.prefillMillis(TOKENS_PER_STEP)
+        val pauseMillis = normalPauseMillis * decodeEngine.speed.factor(nowMillis)
         val streams = maxOf(decodeEngine.requestCount(nowMillis), MIN_ASSUMED_STREAMS)
         return costs.disturbancePrice + streams * costs.pausePrice(pauseMillis, request.maxPauseMillis)
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -12,6 +12,7 @@
  * @property ownAttemptsAtReport how many of the gateway's attempts were in progress when [report] was received
  * @property prefillDelay the delay of the last prompt that was processed
  * @property prefixUses the gateway's last use of each prefix, by its key, the least recent first
+ * @property speed how long work takes on the upstream
  */
 public data class UpstreamRecord(
     val listed: ListedUpstream,
@@ -22,6 +23,7 @@
     val ownAttemptsAtReport: Int,
     val prefillDelay: PrefillDelay,
     val prefixUses: PersistentMap<Long, PrefixUse>,
+    val speed: UpstreamSpeed = UpstreamSpeed.UNKNOWN,
 ) {
     /** The prompt tokens that the upstream has still to process for the gateway's attempts. */
     val ownPendingPrefillTokens: Long
@@ -48,7 +50,7 @@
         val isRecent = nowMillis - prefillDelay.observedMillis < MAX_DELAY_AGE_MILLIS
         val remainingMillis = prefillDelay.remainingMillis(nowMillis)
         val delayMillis = if (isRecent) remainingMillis else maxOf(remainingMillis, averageDelayMillis)
-        val ownMillis = ownPendingPrefillTokens / costs.prefillTokensPerMilli
+        val ownMillis = ownPendingPrefillTokens / costs.prefillTokensPerMilli * speed.factor(nowMillis)
         return maxOf(delayMillis, ownMillis, oldestPendingPrefillMillis(nowMillis) - ownMillis)
     }
 
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatchFuzzTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatchFuzzTest.kt
@@ -33,7 +33,7 @@
 
     fun long(): Long = if (random.nextBoolean()) random.nextLong(0, 10_000) else LONGS.random(random)
 
-    fun load(): ReportedLoad = ReportedLoad(number(), number(), number())
+    fun load(): ReportedLoad = ReportedLoad(number(), number(), number(), if (random.nextBoolean()) number() else null)
 
     fun request(): GenerationRequest {
         val declared =
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/PlainSession.kt
@@ -3,6 +3,7 @@
 import marigoldward.core.dispatch.AttemptEnd
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.Placement
+import marigoldward.core.model.UpstreamId
 import marigoldward.gateway.Dialect
 import marigoldward.gateway.message.ResponseHead
 import marigoldward.gateway.upstream.UpstreamFailure
@@ -18,7 +19,7 @@
 
     override fun startNextAttempt() {
         if (endIfQuarantined()) return
-        when (val placement = context.dispatcher.place(request.serviceName, triedUpstreams, context.nowMillis())) {
+        when (val placement = place(triedUpstreams)) {
             is Placement.Single -> send(placement.upstream)
             is Placement.Split -> error("a plain service has no engines")
             is Placement.None -> endWithoutPlacement(placement)
@@ -100,10 +101,13 @@
         }
     }
 
+    private fun place(tried: Set<UpstreamId>): Placement =
+        context.dispatcher.place(request.serviceName, tried, context.nowMillis(), request.route.name)
+
     /** Returns a usable upstream that the request was not sent to, or null if there is none. */
     private fun otherUpstreamOrNull(attempt: UpstreamAttempt): ListedUpstream? {
         val tried = triedUpstreams + attempt.upstream.id
-        return when (val placement = context.dispatcher.place(request.serviceName, tried, context.nowMillis())) {
+        return when (val placement = place(tried)) {
             is Placement.Single -> placement.upstream
             is Placement.Split -> error("a plain service has no engines")
             is Placement.None -> null
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -81,7 +81,8 @@
     ) {
         val nowMillis = context.nowMillis()
         val prompt = request.metadata.prompt.takeIf { upstream.stage != null }
-        attempt = context.dispatcher.recordStart(upstream.id, prompt, prefillTokens, nowMillis)
+        val kind = request.route.name.takeIf { upstream.stage == null }
+        attempt = context.dispatcher.recordStart(upstream.id, prompt, prefillTokens, nowMillis, kind)
         if (attempt.isPrefillPending && prompt != null) context.demand?.recordPrompt(request.serviceName, prefillTokens)
         val remainingMillis = request.deadlineMillis - nowMillis
         val record = context.dispatcher.recordOrNull(upstream.id)
