Compare two drawn plain instances for each request

75 gateways learn the load of an instance only from their own answers, so reports are some hundred milliseconds old, and all gateways chose the instance that looked best. Where an instance reports how long work takes, each request now compares two of the sound instances, drawn by rendezvous hashing from the gateway's seed and a counter. If fewer than two are sound (few failures, not cold), all are compared. Without the figure nothing changes.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -15,11 +15,12 @@
  * Has no clock, thread or network of its own and is not thread-safe. [seed] seeds the random numbers that break near
  * ties.
  */
-public class Dispatcher(private val dataCentre: DataCentre, private val costs: PlacementCosts, seed: Long) {
+public class Dispatcher(private val dataCentre: DataCentre, private val costs: PlacementCosts, private val seed: Long) {
     private val random = Random(seed)
     private var records: PersistentMap<UpstreamId, UpstreamRecord> = persistentMapOf()
     private val leavingUpstreams = LeavingUpstreams()
     private var nextAttemptNumber = 1L
+    private var nextDrawNumber = 1L
     private var averagePrefillDelay = PrefillDelay.NONE
     private var directPrefillRate = DirectPrefillRate.NONE
     private val retentionEstimator = CacheRetentionEstimator()
@@ -72,7 +73,7 @@
         val usable = usableRecords(service, tried, nowMillis)
         if (usable.isEmpty()) return Placement.None(reasonForNone(service))
         val workMillis = workTimes.averageOrNull(kind) ?: costs.fullUpstreamMillis
-        val chosen = cheapest(usable) { serviceCost(it, workMillis, nowMillis) }
+        val chosen = cheapest(candidates(usable)) { serviceCost(it, workMillis, nowMillis) }
         return Placement.Single(chosen.listed, 0)
     }
 
@@ -355,6 +356,22 @@
             if (record.listed.dataCentre == dataCentre) 0.0 else costs.remoteCallMillis
     }
 
+    /**
+     * Returns the upstreams among which a plain request is placed: all of [usable], or, if one of them reports how long
+     * work takes, [CANDIDATES] of them. Which ones differs between gateways and from request to request, so that many
+     * gateways with old reports do not choose the same upstream. Upstreams that have failed or have just started are
+     * not drawn; if too few are left, all are compared.
+     */
+    private fun candidates(usable: List<UpstreamRecord>): List<UpstreamRecord> {
+        if (usable.size <= CANDIDATES || usable.none { it.speed.isReported }) return usable
+        val sound = usable.filter { it.health.failureRate < MAX_DRAWN_FAILURE_RATE && !it.listed.isCold }
+        if (sound.size < CANDIDATES) return usable
+        val key = RendezvousHashing.weight(seed, nextDrawNumber++)
+        return sound
+            .sortedByDescending { RendezvousHashing.weight(key, RendezvousHashing.hash(it.listed.id.text)) }
+            .take(CANDIDATES)
+    }
+
     private fun coldStartMillis(record: UpstreamRecord): Double =
         if (record.listed.isCold) costs.coldStartMillis else 0.0
 
@@ -385,6 +402,12 @@
          */
         const val TIE_BREAK_MILLIS = 2.0
 
+        /** The number of upstreams that are compared for a plain request. */
+        const val CANDIDATES = 2
+
+        /** An upstream is drawn after one failure among its last ten attempts, and not after two. */
+        const val MAX_DRAWN_FAILURE_RATE = 0.15
+
         /** Shorter prefixes are computed in about the time that a copy needs to begin. */
         const val MIN_COPIED_TOKENS = 512
 
--- a/core/src/test/kotlin/marigoldward/core/dispatch/UpstreamSpeedTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/UpstreamSpeedTest.kt
@@ -106,6 +106,19 @@
                 }
                 List(30) { dispatcher.chosen(2_000) }.toSet() shouldContainExactlyInAnyOrder listOf("peer-1", "peer-2")
             }
+            // Guards against a choice between upstreams that fail while a sound one is not compared.
+            it("is among all if too few of them are sound") {
+                val dispatcher = dispatcher(listOf("failing-1", "failing-2", "sound").map { listed(it) })
+                repeat(5) { round ->
+                    listOf("failing-1", "failing-2", "sound").forEach { name ->
+                        val attempt = dispatcher.recordStart(UpstreamId.parse(name), null, 0, round * 10L)
+                        dispatcher.report(name, 100, round * 10L)
+                        val end = if (name == "sound") AttemptEnd.ANSWERED else AttemptEnd.NOT_RUN
+                        dispatcher.recordEnd(attempt, end, round * 10L)
+                    }
+                }
+                List(30) { dispatcher.chosen(41) }.toSet() shouldBe setOf("sound")
+            }
             it("is the same as with no figure if the figure is absurd") {
                 val names = listOf("one", "two", "three")
                 fun choices(percent: Int?): List<String> {
