Draw plain instances in constant time, and compare failed ones in addition

The draw sorted all instances by a hash of their names, which is computed again for each comparison. Two indexes from one hash replace it. Instances with failures or a recent start were left out while two others were sound, so that one that had failed got no work by which its failure rate could fall. They are now compared in addition to the drawn ones.

--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -358,18 +358,19 @@
 
     /**
      * Returns the upstreams among which a plain request is placed: all of [usable], or, if one of them reports how long
-     * work takes, [CANDIDATES] of them. Which ones differs between gateways and from request to request, so that many
+     * work takes, two of them. Which ones differs between gateways and from request to request, so that many
      * gateways with old reports do not choose the same upstream. Upstreams that have failed or have just started are
-     * not drawn; if too few are left, all are compared.
+     * not drawn but always compared, as their costs alone show when to use them again.
      */
     private fun candidates(usable: List<UpstreamRecord>): List<UpstreamRecord> {
-        if (usable.size <= CANDIDATES || usable.none { it.speed.isReported }) return usable
-        val sound = usable.filter { it.health.failureRate < MAX_DRAWN_FAILURE_RATE && !it.listed.isCold }
-        if (sound.size < CANDIDATES) return usable
-        val key = RendezvousHashing.weight(seed, nextDrawNumber++)
-        return sound
-            .sortedByDescending { RendezvousHashing.weight(key, RendezvousHashing.hash(it.listed.id.text)) }
-            .take(CANDIDATES)
+        if (usable.size <= DRAWN || usable.none { it.speed.isReported }) return usable
+        val (sound, others) =
+            usable.partition { it.health.failureRate < MAX_DRAWN_FAILURE_RATE && !it.listed.isCold }
+        if (sound.size < DRAWN) return usable
+        val draw = RendezvousHashing.weight(seed, nextDrawNumber++)
+        val first = Math.floorMod(draw, sound.size)
+        val distance = 1 + Math.floorMod(draw / sound.size, sound.size - 1)
+        return others + sound[first] + sound[(first + distance) % sound.size]
     }
 
     private fun coldStartMillis(record: UpstreamRecord): Double =
@@ -402,8 +403,8 @@
          */
         const val TIE_BREAK_MILLIS = 2.0
 
-        /** The number of upstreams that are compared for a plain request. */
-        const val CANDIDATES = 2
+        /** The number of upstreams that are drawn and compared for a plain request. */
+        const val DRAWN = 2
 
         /** An upstream is drawn after one failure among its last ten attempts, and not after two. */
         const val MAX_DRAWN_FAILURE_RATE = 0.15
--- a/core/src/test/kotlin/marigoldward/core/dispatch/UpstreamSpeedTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/UpstreamSpeedTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.PoolName
@@ -119,6 +120,19 @@
                 }
                 List(30) { dispatcher.chosen(41) }.toSet() shouldBe setOf("sound")
             }
+            // Guards against an instance that gets no work ever again after some failures.
+            it("uses one that has failed once the sound ones are full") {
+                val dispatcher = dispatcher(listOf("failed", "sound-1", "sound-2", "sound-3").map { listed(it) })
+                repeat(3) { round ->
+                    val attempt = dispatcher.recordStart(UpstreamId.parse("failed"), null, 0, round * 10L)
+                    dispatcher.report("failed", 100, round * 10L)
+                    dispatcher.recordEnd(attempt, AttemptEnd.NOT_RUN, round * 10L)
+                }
+                (1..3).forEach { dispatcher.report("sound-$it", 100, 30) }
+                dispatcher.chosen(41) shouldNotBe "failed"
+                (1..3).forEach { dispatcher.report("sound-$it", 100, 50, running = 30) }
+                dispatcher.chosen(51) shouldBe "failed"
+            }
             it("is the same as with no figure if the figure is absurd") {
                 val names = listOf("one", "two", "three")
                 fun choices(percent: Int?): List<String> {
