Bound what callers may take of an entry, and end it if a serving thread has ended

Cause: only bodies were counted. Decoded heads, trailers, requests ahead and responses that nobody reads took as much memory as callers liked, and a thread that died of the OutOfMemoryError left a process that served nobody.

Change: heads are counted before they are decoded, against a share of the heap; requests ahead stay undecoded above a bound; the next request of a connection starts once its socket takes the responses before; requests without progress are refused first when memory is short; fields and connections are bounded, with descriptors kept back. An Error that ends a thread, or the end of the event loop, halts the process with a line that needs no memory.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayMetrics.kt
@@ -58,6 +58,18 @@
             .help("Connections closed on a request that was read, by why")
             .labelNames("reason")
             .register()
+    private val connectionsRefused: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_connections_refused_total")
+            .help("Connections of callers that were closed at once, as there were too many")
+            .register()
+    private val memoryShort: Counter =
+        Counter
+            .builder()
+            .name("marigoldward_request_memory_short_total")
+            .help("Heads and parts of bodies for which the memory for requests was used up")
+            .register()
     val keysDenied: Counter =
         Counter
             .builder()
@@ -116,6 +128,10 @@
 
     fun recordAnswerDropped(reason: String) = answersDropped.labelValues(reason).inc()
 
+    fun recordConnectionRefused() = connectionsRefused.inc()
+
+    fun recordMemoryShort() = memoryShort.inc()
+
     fun recordRequestDropped(reason: String) = requestsDropped.labelValues(reason).inc()
 
     fun recordRequestEnd(route: Route, outcome: String, timing: ResponseTiming, totalMillis: Long) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -77,7 +77,7 @@
     }
     private val confirmedRoutes = settings.revocationMillis?.let { ConfirmedRoutes(it) }
     private val gateway: Gateway = Gateway(context, random) { confirmedRoutes?.isConfirmed(it.version) ?: true }
-    private val memory = RequestMemory.ofHeap()
+    private val memory = RequestMemory(settings.callerBounds)
     private val callerServer = CallerServer(loop, ::callerLimits, memory, gateway::handle)
     private val readinessServer = StatusServer(loop, memory, ::readinessPage)
     private val metricsServer = StatusServer(loop, memory, ::metricsPage)
@@ -139,6 +139,7 @@
     }
 
     private fun start() {
+        LoopWatch.start(loop)
         crashes.onReportDue = crashReporter::requestReport
         feed.changeSeeds(settings.cluster.seedInstances)
         readinessServer.start(settings.readinessListenAddress, ListenWait.UntilFree)
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
@@ -2,6 +2,8 @@
 
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
+import marigoldward.core.serving.CallerBounds
+import marigoldward.support.program.ProcessDescriptors
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
 import marigoldward.support.settings.SectionReader
@@ -24,6 +26,7 @@
  *   with that key may be accepted, in milliseconds, or null if that time has no strict bound
  * @property usageWindowMillis the length of the windows in which the usage of workspaces is counted, in milliseconds, or
  *   null if it is not counted
+ * @property callerBounds what all callers together, and each connection, may take of this process
  */
 public data class GatewaySettings(
     val id: InstanceId,
@@ -40,6 +43,7 @@
     val retryBudgetWindowMillis: Long,
     val revocationMillis: Long? = null,
     val usageWindowMillis: Long? = null,
+    val callerBounds: CallerBounds = defaultCallerBounds(),
 ) {
     /** Reads settings. */
     public companion object {
@@ -49,6 +53,11 @@
         private const val MILLIS_PER_SECOND = 1_000.0
         private val REVOCATION_MILLIS = 100L..3_600_000L
         private val USAGE_WINDOW_SECONDS = 1L..86_400L
+        private val MEMORY_BYTES = 65_536L..1_099_511_627_776L
+        private val CONNECTIONS = 16L..1_000_000L
+        private val REQUESTS_AHEAD = 1L..10_000L
+        private val HEAD_FIELDS = 16L..1_000_000L
+        private val STALLED_MILLIS = 100L..60_000L
 
         /** Reads the settings in [document] and adds errors to [problems]. */
         public fun read(document: IniDocument, problems: ProblemList): GatewaySettings {
@@ -70,11 +79,30 @@
                     retryBudgetWindowMillis = millis(section, "repeat_window_s"),
                     revocationMillis = revocationMillisOrNull(section),
                     usageWindowMillis = section.integerOrNull("usage_window_s", USAGE_WINDOW_SECONDS)?.times(1_000),
+                    callerBounds = callerBounds(section),
                 )
             section.rejectUnknownKeys()
             return settings
         }
 
+        private fun defaultCallerBounds(): CallerBounds =
+            CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maxCount())
+
+        private fun callerBounds(section: SectionReader): CallerBounds {
+            val default = defaultCallerBounds()
+            return CallerBounds(
+                bodyBytes = section.integerOrNull("body_memory_bytes", MEMORY_BYTES) ?: default.bodyBytes,
+                headBytes = section.integerOrNull("head_memory_bytes", MEMORY_BYTES) ?: default.headBytes,
+                maxConnections = section.integerOrNull("max_connections", CONNECTIONS)?.toInt()
+                    ?: default.maxConnections,
+                maxRequestsAhead = section.integerOrNull("max_requests_ahead", REQUESTS_AHEAD)?.toInt()
+                    ?: default.maxRequestsAhead,
+                maxHeadFields = section.integerOrNull("max_head_fields", HEAD_FIELDS)?.toInt()
+                    ?: default.maxHeadFields,
+                stalledMillis = section.integerOrNull("stalled_ms", STALLED_MILLIS) ?: default.stalledMillis,
+            )
+        }
+
         /** Returns the bound in milliseconds, or null unless `revocation_strict` is true. */
         private fun revocationMillisOrNull(section: SectionReader): Long? {
             val millis = section.integerOrNull("revocation_ms", REVOCATION_MILLIS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
+import marigoldward.core.serving.StalledHolders
 import marigoldward.gateway.GatewayMetrics
 import marigoldward.gateway.message.Header
 import marigoldward.gateway.message.Headers
@@ -29,7 +30,11 @@
  *
  * @param server the server that accepted the connection; provides the limits and handles the requests
  */
-internal class CallerConnection(private val server: CallerServer) : ChannelInboundHandlerAdapter() {
+internal class CallerConnection(private val server: CallerServer) :
+    ChannelInboundHandlerAdapter(),
+    RequestMemory.Holder {
+    /** The decoder of what the connection receives. */
+    lateinit var decoder: RequestDecoder
     private lateinit var context: ChannelHandlerContext
     private var incoming: IncomingRequest? = null
     private val queued = ArrayDeque<IncomingRequest>()
@@ -42,6 +47,7 @@
     private var idleSinceMillis = MonotonicClock.nowMillis()
     private var headStartedMillis: Long? = null
     private var lastReceivedMillis = idleSinceMillis
+    private var partsInRead = 0
     private var lastWrite: ChannelFuture? = null
 
     private class IncomingRequest(
@@ -70,7 +76,11 @@
 
     /** Whether a part of what follows the current request has come, which its caller has sent without notice of a close. */
     private val hasReceivedMore: Boolean
-        get() = queued.isNotEmpty() || incoming != null || headStartedMillis != null || rejectionStatus != null
+        get() = queued.isNotEmpty() ||
+            incoming != null ||
+            headStartedMillis != null ||
+            rejectionStatus != null ||
+            decoder.isWithinRequest
 
     /**
      * Whether a request is probably on its way: the connection is idle, and is new or has just carried a response that let
@@ -79,8 +89,35 @@
     val isAwaitingRequest: Boolean
         get() = isIdle && !isClosing && MonotonicClock.nowMillis() - idleSinceMillis < NEXT_REQUEST_MILLIS
 
+    /**
+     * Whether the next request stays undecoded, as others wait before it. Then nothing is read either, until none waits.
+     */
+    fun isDecodingPaused(): Boolean {
+        val isPaused = queued.size >= server.memory.bounds.maxRequestsAhead ||
+            queued.isNotEmpty() &&
+            server.memory.areHeadsShort
+        if (isPaused) context.channel().config().isAutoRead = false
+        return isPaused
+    }
+
+    override fun stalledOrNull(nowMillis: Long): StalledHolders.Holder? {
+        if (isClosing || rejectionStatus != null || incoming?.awaitsContinue == true) return null
+        val takenBytes = decoder.headBytes + (incoming?.body?.takenBytes ?: 0)
+        return StalledHolders.Holder(takenBytes, nowMillis - lastReceivedMillis).takeIf { takenBytes > 0 }
+    }
+
+    override fun idleMillisOrNull(nowMillis: Long): Long? =
+        if (isIdle && !isAwaitingRequest && !isClosing) nowMillis - idleSinceMillis else null
+
+    override fun evict() {
+        rejectRequest(UNAVAILABLE, "there is no memory for a request that makes no progress")
+        // The decoder holds the fields that it has decoded until it is removed.
+        if (context.pipeline().context(decoder) != null) context.pipeline().remove(decoder)
+        decoder = RequestDecoder(server.limits, server.memory, ::isDecodingPaused)
+    }
+
     /** Closes the connection if it is idle, unless a request is probably on its way or in the socket already. */
-    fun closeIfIdle() {
+    override fun closeIfIdle() {
         if (!isIdle || isAwaitingRequest || isClosing) return
         val sinceMillis = idleSinceMillis
         // Only a delayed task lets the loop read before it runs.
@@ -108,8 +145,7 @@
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
-        server.addConnection(this)
-        checkTimeouts()
+        if (server.tryAddConnection(this)) checkTimeouts() else reset()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -123,10 +159,22 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) current?.onWritable?.invoke()
+        if (!context.channel().isWritable) return
+        val exchange = current
+        if (exchange != null) {
+            exchange.onWritable()
+        } else if (queued.isNotEmpty()) {
+            continueWithNext()
+        }
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause is Error) {
+            log.warn("connection_failed") {
+                field("caller", context.channel().remoteAddress())
+                field("error", cause)
+            }
+        }
         context.close()
     }
 
@@ -150,6 +198,7 @@
 
     /** Logs the first request that comes while the connection is being closed. */
     private fun drop(message: HttpObject) {
+        server.memory.releaseHead(decoder.takeHeadBytes())
         if (message is HttpRequest && message.decoderResult().isSuccess) recordDropped("closing", message.uri())
     }
 
@@ -178,6 +227,10 @@
     private fun statusOf(cause: Throwable): Int = when (cause) {
         is TooLongHttpHeaderException -> HEADERS_TOO_LARGE
         is TooLongHttpLineException -> HEADERS_TOO_LARGE
+        is RequestDecoder.RefusedException -> when (cause.refusal) {
+            RequestDecoder.Refusal.NO_MEMORY -> UNAVAILABLE
+            RequestDecoder.Refusal.TOO_MANY_FIELDS -> HEADERS_TOO_LARGE
+        }
         else -> BAD_REQUEST
     }
 
@@ -196,7 +249,7 @@
             rejectRequest(BAD_REQUEST, problem)
             return
         }
-        val body = ReceivedBody(server.memory)
+        val body = ReceivedBody(server.memory, decoder.takeHeadBytes())
         incoming = IncomingRequest(head, keepsConnection, isBeforeHttp11, MonotonicClock.nowMillis(), body)
         askForBody()
     }
@@ -204,13 +257,14 @@
     /** Asks for the body that the caller holds back, unless the response to an earlier request is due first. */
     private fun askForBody() {
         val request = incoming ?: return
-        if (!request.awaitsContinue || current != null) return
+        if (!request.awaitsContinue || current != null || queued.isNotEmpty()) return
         request.awaitsContinue = false
         write(Http1Encoder.continueResponse(context.alloc()))
     }
 
     private fun onRequestContent(content: HttpContent) {
         val request = incoming ?: return
+        if (++partsInRead == MAX_PARTS_PER_READ) pauseReading()
         if (content.content().isReadable) {
             request.awaitsContinue = false
             request.body.add(content.content())
@@ -221,21 +275,44 @@
         }
         if (content !is LastHttpContent) return
         incoming = null
-        if (current == null) startExchange(request) else enqueue(request)
+        if (current == null && queued.isEmpty() && context.channel().isWritable) {
+            startExchange(request)
+        } else {
+            queued.addLast(request)
+        }
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        partsInRead = 0
     }
 
-    /** Keeps [request] for later. Reads no more while many wait. */
-    private fun enqueue(request: IncomingRequest) {
-        queued.addLast(request)
-        if (queued.size >= MAX_QUEUED_REQUESTS) context.channel().config().isAutoRead = false
+    /** Lets the other connections be read before more of this one, whose many parts take long to decode. */
+    private fun pauseReading() {
+        context.channel().config().isAutoRead = false
+        context.executor().schedule(
+            { if (queued.isEmpty()) context.channel().config().isAutoRead = true },
+            1,
+            TimeUnit.MILLISECONDS,
+        )
     }
 
     private fun dequeueOrNull(): IncomingRequest? {
         val next = queued.removeFirstOrNull()
-        if (queued.isEmpty()) context.channel().config().isAutoRead = true
+        if (next != null && queued.isEmpty()) {
+            context.channel().config().isAutoRead = true
+            // Not at once, as this may run within a call of the decoder.
+            context.executor().execute(::resumeDecoding)
+        }
         return next
     }
 
+    private fun resumeDecoding() {
+        if (isClosing || rejectionStatus != null || !context.channel().isActive || queued.isNotEmpty()) return
+        lastReceivedMillis = MonotonicClock.nowMillis()
+        if (incoming == null && decoder.isWithinRequest) headStartedMillis = lastReceivedMillis
+        decoder.resume()
+    }
+
     private fun dropIncoming() {
         incoming?.body?.release()
         incoming = null
@@ -284,8 +361,9 @@
             field("reason", reason)
         }
         dropIncoming()
+        server.memory.releaseHead(decoder.takeHeadBytes())
         rejectionStatus = status
-        if (current == null) sendRejection(status)
+        if (current == null && queued.isEmpty()) sendRejection(status)
     }
 
     private fun sendRejection(status: Int) {
@@ -302,6 +380,12 @@
             queued.firstOrNull()?.let { recordDropped("queued", it.head.target) }
             return closeGracefully()
         }
+        continueWithNext()
+    }
+
+    /** Starts the next request that waits, once the caller reads its responses, which would pile up in memory. */
+    private fun continueWithNext() {
+        if (isClosing || queued.isNotEmpty() && !context.channel().isWritable) return
         val next = dequeueOrNull()
         val rejection = rejectionStatus
         when {
@@ -338,9 +422,10 @@
         if (!context.channel().isActive) return
         val nowMillis = MonotonicClock.nowMillis()
         val headMillis = headStartedMillis?.let { nowMillis - it } ?: 0
+        val isHeadLate = queued.isEmpty() && headMillis > server.limits.headerTimeoutMillis
         val isOverdue = current == null && nowMillis - idleSinceMillis > server.limits.idleTimeoutMillis
         when {
-            !isClosing && rejectionStatus == null && headMillis > server.limits.headerTimeoutMillis ->
+            !isClosing && rejectionStatus == null && isHeadLate ->
                 rejectRequest(REQUEST_TIMEOUT, "the request head was not complete in time")
             isOverdue && isBodyStalled(nowMillis) ->
                 rejectRequest(REQUEST_TIMEOUT, "the rest of the request body did not come in time")
@@ -435,8 +520,8 @@
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
 
-        /** The number of requests that wait on one connection above which no more are read. */
-        const val MAX_QUEUED_REQUESTS = 64
+        /** The number of parts of bodies that one read event may have; their decoding takes some milliseconds. */
+        const val MAX_PARTS_PER_READ = 4_096
 
         /** How long the request for which a caller has opened or kept a connection takes to arrive, as a rule. */
         const val NEXT_REQUEST_MILLIS = 500L
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -84,29 +84,31 @@
         connections.toList().forEach(CallerConnection::reset)
     }
 
-    fun addConnection(connection: CallerConnection) {
-        connections.add(connection)
-    }
+    /** Adds [connection] and returns true, or returns false if it has to be closed, as there are too many. */
+    fun tryAddConnection(connection: CallerConnection): Boolean =
+        memory.tryAdd(connection) && connections.add(connection)
 
     fun removeConnection(connection: CallerConnection) {
         connections.remove(connection)
+        memory.remove(connection)
     }
 
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val connection = CallerConnection(this@CallerServer)
-            val decoder = RequestDecoder(limits)
-            channel.pipeline().addLast(ReceiveNotifier(connection, decoder), decoder, connection)
+            val decoder = RequestDecoder(limits, memory, connection::isDecodingPaused)
+            connection.decoder = decoder
+            channel.pipeline().addLast(ReceiveNotifier(connection), decoder, connection)
         }
     }
 
-    private inner class ReceiveNotifier(private val connection: CallerConnection, private var decoder: RequestDecoder) :
-        ChannelInboundHandlerAdapter() {
+    private inner class ReceiveNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            val decoder = connection.decoder
             if (decoder.limits != limits && connection.isBetweenRequests && !decoder.isWithinRequest) {
-                val next = RequestDecoder(limits)
+                val next = RequestDecoder(limits, memory, connection::isDecodingPaused)
                 context.pipeline().replace(decoder, null, next)
-                decoder = next
+                connection.decoder = next
             }
             connection.onBytesReceived()
             context.fireChannelRead(message)
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/ReceivedBody.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/ReceivedBody.kt
@@ -4,11 +4,18 @@
 import io.netty.buffer.ByteBufUtil
 import java.io.ByteArrayOutputStream
 
-/** The body of a request while it is received, and its share of [memory] until the end of the request. */
-internal class ReceivedBody(private val memory: RequestMemory) {
+/**
+ * The body of a request while it is received, and its share of [memory] until the end of the request.
+ *
+ * @param headBytes what the head takes of the memory; freed with the body
+ */
+internal class ReceivedBody(private val memory: RequestMemory, private var headBytes: Long) {
     private var buffer = ByteArrayOutputStream(0)
     private var heldBytes = 0L
 
+    /** What the head and the body take of the memory, in bytes. */
+    val takenBytes: Long get() = heldBytes + headBytes
+
     /** The number of bytes received, also of those that were dropped. */
     var receivedBytes: Int = 0
         private set
@@ -27,7 +34,7 @@
             buffer.writeBytes(ByteBufUtil.getBytes(data))
         } else {
             isDropped = true
-            release()
+            releaseBody()
         }
     }
 
@@ -36,6 +43,12 @@
 
     /** Frees the share of the memory. Called when the request has ended. */
     fun release() {
+        releaseBody()
+        memory.releaseHead(headBytes)
+        headBytes = 0
+    }
+
+    private fun releaseBody() {
         buffer = ByteArrayOutputStream(0)
         memory.release(heldBytes)
         heldBytes = 0
--- a/support/src/main/kotlin/marigoldward/support/program/Program.kt
+++ b/support/src/main/kotlin/marigoldward/support/program/Program.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.required
 import marigoldward.core.Outcome
 import marigoldward.core.config.SourceFile
+import marigoldward.support.duty.BrokenInvariant
 import marigoldward.support.log.EventLog
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
@@ -90,10 +91,12 @@
      * A request to terminate that comes during the start takes effect after it, so that connections accepted by then
      * are not cut off; only a start that waits without a limit ends by [Termination.StartCancelled]. If [start] throws
      * anything else, prints and logs the cause and ends the process with [EXIT_START]. An exception that ends any other
-     * thread is logged; the process goes on.
+     * thread is logged; the process goes on. An [Error] that ends a thread halts the process, as what the thread did is
+     * done no more.
      */
     public fun run(start: () -> AutoCloseable): Nothing {
-        Thread.setDefaultUncaughtExceptionHandler(::logThreadEnd)
+        BrokenInvariant.prepare()
+        Thread.setDefaultUncaughtExceptionHandler(::onThreadEnd)
         val started = CompletableFuture<AutoCloseable?>()
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -139,7 +142,8 @@
         }
     }
 
-    private fun logThreadEnd(thread: Thread, failure: Throwable) {
+    private fun onThreadEnd(thread: Thread, failure: Throwable) {
+        if (failure is Error) BrokenInvariant.haltProcess(thread.name, failure)
         log.warn("thread_failed") {
             field("thread", thread.name)
             field("error", failure.stackTraceToString())
--- a/support/src/main/kotlin/marigoldward/support/time/TimerService.kt
+++ b/support/src/main/kotlin/marigoldward/support/time/TimerService.kt
@@ -1,5 +1,6 @@
 package marigoldward.support.time
 
+import marigoldward.support.duty.BrokenInvariant
 import marigoldward.support.log.EventLog
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -26,12 +27,19 @@
     public fun subscribeOnce(delayMillis: Long, subscriber: () -> Unit): TimerSubscription =
         TimerSubscription(executor.schedule(guarded(subscriber), delayMillis, TimeUnit.MILLISECONDS))
 
-    /** Returns [subscriber] as a task that logs what it throws. The executor would drop a task that throws, silently. */
+    /**
+     * Returns [subscriber] as a task that logs what it throws. The executor would drop a task that throws, silently, so
+     * the process is halted if not even that can be logged.
+     */
     private fun guarded(subscriber: () -> Unit): Runnable = Runnable {
         try {
             subscriber()
         } catch (failure: Throwable) {
-            log.warn("subscriber_failed") { field("error", failure.stackTraceToString()) }
+            try {
+                log.warn("subscriber_failed") { field("error", failure.stackTraceToString()) }
+            } catch (error: Error) {
+                BrokenInvariant.haltProcess("timer", error)
+            }
         }
     }
 
