Receive bodies of operators within a bound, without a worker thread

Cause: each request body of the operators' API kept one of eight worker threads while it was received, and all bodies were held without a bound on their sum.

Measured: MisbehavingCallersTest passes with it, as it did before; no test has shown the fault at this size, and eight PUTs of 15 MB at once were not run.

--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -27,12 +27,15 @@
  *
  * @property maxBodyBytes the size of the largest request body that is accepted
  * @property workerThreads the largest number of requests that are handled at once
+ * @property bodyBudget bounds the bodies that are received before their requests are handled, or null if they are
+ *   received while they are handled
  */
 public class StreamingUndertow private constructor(
     private val address: InetSocketAddress,
     private val maxBodyBytes: Long,
     private val workerThreads: Int,
     private val wait: ListenWait,
+    private val bodyBudget: BodyBudget?,
 ) : ServerConfig {
     private val active = AtomicInteger()
 
@@ -44,6 +47,7 @@
     public var isClosingConnections: Boolean = false
 
     override fun toServer(http: HttpHandler): Http4kServer {
+        val handler = BlockingHandler { exchange -> handle(exchange, http) }
         val server =
             Undertow
                 .builder()
@@ -54,7 +58,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_MILLIS)
-                .setHandler(BlockingHandler { exchange -> handle(exchange, http) })
+                .setHandler(bodyBudget?.let { BodyCollector(it, maxBodyBytes, handler) } ?: handler)
                 .build()
         return RunningServer(server)
     }
@@ -80,9 +84,11 @@
         val uri = if (query.isEmpty()) exchange.requestURI else "${exchange.requestURI}?$query"
         val headers = exchange.requestHeaders.flatMap { header -> header.map { header.headerName.toString() to it } }
         val source = exchange.sourceAddress
+        val received = exchange.getAttachment(BodyCollector.BODY)
+        val body = received?.inputStream() ?: exchange.inputStream
         return Request(method, Uri.of(uri))
             .headers(headers)
-            .body(Body(exchange.inputStream, exchange.requestContentLength.takeIf { it >= 0 }))
+            .body(Body(body, exchange.requestContentLength.takeIf { it >= 0 }))
             .source(RequestSource(source.hostString, source.port, exchange.requestScheme))
     }
 
@@ -135,6 +141,7 @@
             maxBodyBytes: Long,
             workerThreads: Int,
             wait: ListenWait = ListenWait.Bounded(),
-        ): StreamingUndertow = StreamingUndertow(address, maxBodyBytes, workerThreads, wait)
+            bodyBudget: BodyBudget? = null,
+        ): StreamingUndertow = StreamingUndertow(address, maxBodyBytes, workerThreads, wait, bodyBudget)
     }
 }
