Revert "Receive bodies of operators within a bound, without a worker thread"

Cause: a test that sends a body of 3 bytes in two parts got the response of an empty body, or could not read it (expected 3, was 0; not traced). Callers that wait for an interim response were not served either: Undertow's receiver sends none (seen in its class file).

Change: the operators' API is as before.

Measured: BodyCollectorTest, not kept, 1 of 2 failed on the change.

--- a/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
+++ b/support/src/main/kotlin/marigoldward/support/http/StreamingUndertow.kt
@@ -27,15 +27,12 @@
  *
  * @property maxBodyBytes the size of the largest request body that is accepted
  * @property workerThreads the largest number of requests that are handled at once
- * @property bodyBudget bounds the bodies that are received before their requests are handled, or null if they are
- *   received while they are handled
  */
 public class StreamingUndertow private constructor(
     private val address: InetSocketAddress,
     private val maxBodyBytes: Long,
     private val workerThreads: Int,
     private val wait: ListenWait,
-    private val bodyBudget: BodyBudget?,
 ) : ServerConfig {
     private val active = AtomicInteger()
 
@@ -47,7 +44,6 @@
     public var isClosingConnections: Boolean = false
 
     override fun toServer(http: HttpHandler): Http4kServer {
-        val handler = BlockingHandler { exchange -> handle(exchange, http) }
         val server =
             Undertow
                 .builder()
@@ -58,7 +54,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_MILLIS)
-                .setHandler(bodyBudget?.let { BodyCollector(it, maxBodyBytes, handler) } ?: handler)
+                .setHandler(BlockingHandler { exchange -> handle(exchange, http) })
                 .build()
         return RunningServer(server)
     }
@@ -84,11 +80,9 @@
         val uri = if (query.isEmpty()) exchange.requestURI else "${exchange.requestURI}?$query"
         val headers = exchange.requestHeaders.flatMap { header -> header.map { header.headerName.toString() to it } }
         val source = exchange.sourceAddress
-        val received = exchange.getAttachment(BodyCollector.BODY)
-        val body = received?.inputStream() ?: exchange.inputStream
         return Request(method, Uri.of(uri))
             .headers(headers)
-            .body(Body(body, exchange.requestContentLength.takeIf { it >= 0 }))
+            .body(Body(exchange.inputStream, exchange.requestContentLength.takeIf { it >= 0 }))
             .source(RequestSource(source.hostString, source.port, exchange.requestScheme))
     }
 
@@ -141,7 +135,6 @@
             maxBodyBytes: Long,
             workerThreads: Int,
             wait: ListenWait = ListenWait.Bounded(),
-            bodyBudget: BodyBudget? = null,
-        ): StreamingUndertow = StreamingUndertow(address, maxBodyBytes, workerThreads, wait, bodyBudget)
+        ): StreamingUndertow = StreamingUndertow(address, maxBodyBytes, workerThreads, wait)
     }
 }
