--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -20,9 +20,9 @@
  * Changes the stages of engines while this replica leads. One thread reads their status, plans and sends orders.
  *
  * The term is the fencing token. An order of the previous leader may still arrive for a while, so a new leader sends
- * none until its takeover delay is over. Right before each order, a quorum confirms that this replica still leads. An engine
- * that did not answer an order gets no other until that one can't arrive any more. An engine that is leaving, by the
- * directory or by its own answers, gets no order and isn't asked for its status.
+ * none until its takeover delay is over. Right before each order, a quorum confirms that this replica still leads. An
+ * engine that did not answer an order gets no other until that one can't arrive any more. An engine that is leaving, by
+ * the directory or by its own answers, gets no order and isn't asked for its status.
  *
  * @param scaledServices returns the services whose engines are ordered and given up while they run
  * @param directory returns the list of upstreams, or null if there is none yet
@@ -138,8 +138,8 @@
     }
 
     /**
-     * Reads the status of [engine]. Whatever its answer does to the reading, an [Error] of the virtual machine included, is
-     * a failed reading, which must not end the process.
+     * Reads the status of [engine]. Whatever its answer does to the reading, an [Error] of the virtual machine
+     * included, is a failed reading, which must not end the process.
      */
     private fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> = try {
         engines.readStatus(engine)
--- a/core/src/main/kotlin/marigoldward/core/capacity/DataCentrePlan.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/DataCentrePlan.kt
@@ -116,8 +116,8 @@
         val room = maxOf(0, scaling.maxEngines - maxOf(serving.regular, ordered.regular))
         val reclaimable = minOf(mostReclaimable, maxOf(room, ordered.reclaimable))
         if (reclaimable > ordered.reclaimable && !isDoubleCounted) return Order(isReclaimable = true, reclaimable)
-        // What was ordered and is missing may still come, or come back: it counts when more engines are ordered, but not
-        // when others are given up.
+        // What was ordered and is missing may still come, or come back: it counts when more engines are ordered, but
+        // not when others are given up.
         val coming = maxOf(serving.reclaimable, ordered.reclaimable)
         val regularToHave = minOf(maxOf(reserve, size - coming), scaling.maxEngines - coming)
         val regularToKeep = maxOf(reserve, size - minOf(serving.reclaimable, mostReclaimable))
--- a/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/StagePlannerTest.kt
@@ -192,8 +192,8 @@
                 (first.changes + second.changes + third.changes).shouldBeEmpty()
                 third.planner.observe(unused.drop(1), 9, 11_000, isScaled = true).changes shouldHaveSize 6
             }
-            // Guards against a change of behaviour where engines aren't ordered: the digest is that of the decisions of the
-            // planner before it knew of sets that change.
+            // Guards against a change of behaviour where engines aren't ordered: the digest is that of the decisions of
+            // the planner before it knew of sets that change.
             it("changes nothing in the decisions for a service whose engines aren't ordered") {
                 val random = Random(7)
                 var planner = StagePlanner.INITIAL
