--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -344,8 +344,8 @@
         }
 
     /**
-     * Returns the time by which a request that normally takes [workMillis] is expected to end later at the upstream than
-     * at an idle near one of normal speed, with what failures are expected to add.
+     * Returns the time by which a request that normally takes [workMillis] is expected to end later at the upstream
+     * than at an idle near one of normal speed, with what failures are expected to add.
      */
     private fun serviceCost(record: UpstreamRecord, workMillis: Double, nowMillis: Long): Double {
         val ahead = record.requestCount(nowMillis).toDouble() / maxOf(1, record.listed.slots)
--- a/core/src/main/kotlin/marigoldward/core/dispatch/WorkTimes.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/WorkTimes.kt
@@ -7,7 +7,7 @@
     /** Returns the average time of work of [kind] in milliseconds, or null if none has ended yet. */
     fun averageOrNull(kind: String?): Double? = averageMillis[kind]
 
-    /** Records that work of [kind] took [millis] on an upstream on which work takes [factor] times as long as normal. */
+    /** Records that work of [kind] took [millis] on an upstream where work takes [factor] times as long as normal. */
     fun record(kind: String, millis: Double, factor: Double) {
         val normalMillis = millis / factor
         val average = averageMillis.remove(kind) ?: normalMillis
