Close surplus connections as they are accepted

One accept event takes all connections that wait, hundreds at once, before the first of them is counted. The listening socket closes a surplus connection right after accepting it.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
@@ -10,7 +11,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.ServerChannelRecvByteBufAllocator
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import marigoldward.core.routes.CallerLimits
 import marigoldward.support.program.ListenAddress
 import marigoldward.support.program.ListenWait
@@ -54,7 +54,7 @@
         val bootstrap =
             ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel::class.java)
+                .channelFactory(ChannelFactory { BoundedServerChannel(memory::mayAccept) })
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, acceptToTheEnd())
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestMemory.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestMemory.kt
@@ -53,8 +53,14 @@
      * Adds [holder] and returns true, or returns false if there are as many connections as may be open. Then closes one
      * for the next: that which is idle for longest or, if none is, those whose requests are stalled.
      */
-    fun tryAdd(holder: Holder): Boolean {
-        if (holders.size < bounds.maxConnections) return holders.add(holder)
+    fun tryAdd(holder: Holder): Boolean = mayAccept(0) && holders.add(holder)
+
+    /**
+     * Returns whether another connection may be opened besides the open ones and [acceptedCount] that are not added yet. If
+     * not, closes one for the next as [tryAdd] does.
+     */
+    fun mayAccept(acceptedCount: Int): Boolean {
+        if (holders.size + acceptedCount < bounds.maxConnections) return true
         val nowMillis = MonotonicClock.nowMillis()
         connectionRefusals.record(nowMillis) { field("connections", holders.size) }
         if (nowMillis - lastCloseMillis >= EVICTION_PAUSE_MILLIS) {
