--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
@@ -51,6 +51,7 @@
         private const val MAX_SECONDS = 3_600.0
         private const val MAX_RETRY_BUDGET = 1_000_000.0
         private const val MILLIS_PER_SECOND = 1_000.0
+        private val DESCRIPTORS = 100L..1_000_000_000L
         private val REVOCATION_MILLIS = 100L..3_600_000L
         private val USAGE_WINDOW_SECONDS = 1L..86_400L
         private val MEMORY_BYTES = 65_536L..1_099_511_627_776L
@@ -89,7 +90,8 @@
             CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maxCount())
 
         private fun callerBounds(section: SectionReader): CallerBounds {
-            val default = defaultCallerBounds()
+            val descriptors = section.integerOrNull("descriptors", DESCRIPTORS) ?: ProcessDescriptors.maxCount()
+            val default = CallerBounds.of(Runtime.getRuntime().maxMemory(), descriptors)
             return CallerBounds(
                 bodyBytes = section.integerOrNull("body_memory_bytes", MEMORY_BYTES) ?: default.bodyBytes,
                 headBytes = section.integerOrNull("head_memory_bytes", MEMORY_BYTES) ?: default.headBytes,
