Bound connections in one place, where they are accepted

Cause: since the listening socket closes surplus connections, none that is added can be surplus, as registering happens within the same event; the older check at channelActive, its reset and the return values were dead. The default bounds of a process were computed in three places.

Change: RequestMemory.add only adds; mayAccept decides. defaultCallerBounds serves the settings and the memory. No behaviour changes.

--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewaySettings.kt
@@ -3,7 +3,6 @@
 import marigoldward.core.model.DataCentre
 import marigoldward.core.model.InstanceId
 import marigoldward.core.serving.CallerBounds
-import marigoldward.support.program.ProcessDescriptors
 import marigoldward.support.settings.IniDocument
 import marigoldward.support.settings.ProblemList
 import marigoldward.support.settings.SectionReader
@@ -86,12 +85,9 @@
             return settings
         }
 
-        private fun defaultCallerBounds(): CallerBounds =
-            CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maxCount())
-
         private fun callerBounds(section: SectionReader): CallerBounds {
-            val descriptors = section.integerOrNull("descriptors", DESCRIPTORS) ?: ProcessDescriptors.maxCount()
-            val default = CallerBounds.of(Runtime.getRuntime().maxMemory(), descriptors)
+            val descriptors = section.integerOrNull("descriptors", DESCRIPTORS)
+            val default = if (descriptors == null) defaultCallerBounds() else defaultCallerBounds(descriptors)
             return CallerBounds(
                 bodyBytes = section.integerOrNull("body_memory_bytes", MEMORY_BYTES) ?: default.bodyBytes,
                 headBytes = section.integerOrNull("head_memory_bytes", MEMORY_BYTES) ?: default.headBytes,
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerConnection.kt
@@ -145,7 +145,8 @@
     }
 
     override fun channelActive(context: ChannelHandlerContext) {
-        if (server.tryAddConnection(this)) checkTimeouts() else reset()
+        server.addConnection(this)
+        checkTimeouts()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/CallerServer.kt
@@ -84,9 +84,10 @@
         connections.toList().forEach(CallerConnection::reset)
     }
 
-    /** Adds [connection] and returns true, or returns false if it has to be closed, as there are too many. */
-    fun tryAddConnection(connection: CallerConnection): Boolean =
-        memory.tryAdd(connection) && connections.add(connection)
+    fun addConnection(connection: CallerConnection) {
+        memory.add(connection)
+        connections.add(connection)
+    }
 
     fun removeConnection(connection: CallerConnection) {
         connections.remove(connection)
--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestMemory.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestMemory.kt
@@ -3,7 +3,7 @@
 import marigoldward.core.serving.CallerBounds
 import marigoldward.core.serving.StalledHolders
 import marigoldward.gateway.GatewayMetrics
-import marigoldward.support.program.ProcessDescriptors
+import marigoldward.gateway.defaultCallerBounds
 import marigoldward.support.time.MonotonicClock
 
 /**
@@ -15,7 +15,7 @@
  */
 internal class RequestMemory(val bounds: CallerBounds) {
     /** Bounds the bodies by [maxBytes], and all else as suits this process. */
-    constructor(maxBytes: Long) : this(defaultBounds().copy(bodyBytes = maxBytes))
+    constructor(maxBytes: Long) : this(defaultCallerBounds().copy(bodyBytes = maxBytes))
 
     /** A connection that may hold a part of the memory. */
     interface Holder {
@@ -49,15 +49,14 @@
     /** Whether heads take so much that a connection should not add one while another of its requests waits. */
     val areHeadsShort: Boolean get() = heldHeadBytes > bounds.headBytes / 2
 
-    /**
-     * Adds [holder] and returns true, or returns false if there are as many connections as may be open. Then closes one
-     * for the next: that which is idle for longest or, if none is, those whose requests are stalled.
-     */
-    fun tryAdd(holder: Holder): Boolean = mayAccept(0) && holders.add(holder)
+    /** Adds [holder], whose connection [mayAccept] has let in. */
+    fun add(holder: Holder) {
+        holders.add(holder)
+    }
 
     /**
      * Returns whether another connection may be opened besides the open ones and [acceptedCount] that are not added yet. If
-     * not, closes one for the next as [tryAdd] does.
+     * not, closes one for the next: that which is idle for longest or, if none is, those whose requests are stalled.
      */
     fun mayAccept(acceptedCount: Int): Boolean {
         if (holders.size + acceptedCount < bounds.maxConnections) return true
@@ -138,11 +137,8 @@
         /** Bounds how often all connections are looked at. */
         private const val EVICTION_PAUSE_MILLIS = 50L
 
-        private fun defaultBounds(): CallerBounds =
-            CallerBounds.of(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maxCount())
-
         /** Returns a bound that suits the heap and the descriptors of this process. */
-        fun ofHeap(): RequestMemory = RequestMemory(defaultBounds())
+        fun ofHeap(): RequestMemory = RequestMemory(defaultCallerBounds())
 
         /** Returns the memory that [lines] lines of [bytes] bytes together take once they are decoded, in bytes. */
         fun fieldBytes(bytes: Int, lines: Int): Long = bytes + lines * FIELD_BYTES
