Write three expressions of the planners plainly

Cause: the formatter had broken an expression and a lambda over five lines each, and the reserve was computed from the same difference twice.

Change: the difference has a name; a saturated sum and the question whether a service is scaled are one line each. No behaviour changes.

--- a/core/src/main/kotlin/marigoldward/core/capacity/CapacityPlanner.kt
+++ b/core/src/main/kotlin/marigoldward/core/capacity/CapacityPlanner.kt
@@ -77,11 +77,9 @@
         val plan = plans[order.dataCentre] ?: return this
         val changed = when (result) {
             OrderResult.ACCEPTED ->
-                plan.ordered(
-                    order.isReclaimable,
-                    order.count,
-                    nowMillis,
-                ).waitingUntil(nowMillis + ORDER_INTERVAL_MILLIS)
+                plan
+                    .ordered(order.isReclaimable, order.count, nowMillis)
+                    .waitingUntil(nowMillis + ORDER_INTERVAL_MILLIS)
             OrderResult.SCARCE -> {
                 val count = if (order.isReclaimable) plan.ordered.reclaimable else plan.ordered.regular
                 val known = if (order.count > count) plan.scarce(order.isReclaimable, nowMillis) else plan
@@ -137,13 +135,8 @@
     private fun reserveFactor(known: Collection<DataCentrePlan>, total: Int): Double {
         if (total == 0 || !scaling.hasReclaimable) return 1.0
         val largestLoss = known.maxOf { it.wanted - DataCentrePlan.regularReserve(it.wanted) }
-        return if (largestLoss >=
-            total
-        ) {
-            MAX_RESERVE_FACTOR
-        } else {
-            minOf(MAX_RESERVE_FACTOR, total / (total - largestLoss.toDouble()))
-        }
+        val remaining = total - largestLoss
+        return if (remaining <= 0) MAX_RESERVE_FACTOR else minOf(MAX_RESERVE_FACTOR, total / remaining.toDouble())
     }
 
     private fun resized(known: Map<DataCentre, DataCentrePlan>, engines: Double): Map<DataCentre, DataCentrePlan> {
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageLedger.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageLedger.kt
@@ -102,15 +102,7 @@
     }
 
     /** Both are positive, so a sum that is not has overflowed. */
-    private fun saturatedSum(first: Long, second: Long): Long = (first + second).let {
-        if (it <
-            0
-        ) {
-            Long.MAX_VALUE
-        } else {
-            it
-        }
-    }
+    private fun saturatedSum(first: Long, second: Long): Long = (first + second).takeIf { it > 0 } ?: Long.MAX_VALUE
 
     /** Returns the ledger after [window] was recorded, without processes that have ended. */
     public fun afterRecorded(window: Long, nowMillis: Long): UsageLedger {
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -9,6 +9,7 @@
 import marigoldward.core.dispatch.PlacementCosts
 import marigoldward.core.dispatch.RetryBudgetShare
 import marigoldward.core.model.InstanceId
+import marigoldward.core.model.PoolName
 import marigoldward.core.routes.CallerLimits
 import marigoldward.core.routes.RouteConfiguration
 import marigoldward.core.routes.RouteDocument
@@ -67,11 +68,7 @@
     private val routeSelection = RouteSelection(routeReader, startedMillis)
     private val budgetSharersLog = BudgetSharersLog(BudgetSharers.UNKNOWN_COUNT, startedMillis)
     private val usage = settings.usageWindowMillis?.let { MeteredUsage(it) }
-    private val demand: MeasuredDemand =
-        MeasuredDemand { service ->
-            gateway.configuration?.services?.get(service)?.scaling !=
-                null
-        }
+    private val demand: MeasuredDemand = MeasuredDemand(::isScaled)
     private val context = SessionContext(loop, dialect, dispatcher, pool, crashes, ::newRetryBudget, usage, demand) {
         budgetSharers.count(MonotonicClock.nowMillis())
     }
@@ -173,6 +170,8 @@
         }
     }
 
+    private fun isScaled(service: PoolName): Boolean = gateway.configuration?.services?.get(service)?.scaling != null
+
     private fun needsExchange(configuration: RouteConfiguration): Boolean =
         configuration.workspaces != null || configuration.services.values.any { it.scaling != null }
 
