Share the reading of clocks and the holding of a duty

The duties of usage and of engines each kept the token, logged when it changed and compared it with a confirmation. Every control instance parsed each configuration for the services whose engines are ordered, though only the leader orders. An accepted request with a key filtered the confirmations twice.

Change: core.time.ClockReading, support.time.SystemClocks and control.duties.DutyHolding serve both sides; only the leader parses; the state of freshness at the reading that it has is itself. No behaviour changes but where a configuration is parsed.

Measured: core 46, control 24, gateway 29 and platform 11 tests named for these parts pass, ConfigurationFreshnessTest and UsageScheduleTest with their planted faults among them.

--- a/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
@@ -1,5 +1,6 @@
 package marigoldward.control.capacity
 
+import marigoldward.control.duties.DutyHolding
 import marigoldward.control.duties.DutyMetrics
 import marigoldward.control.duties.ProviderCalls
 import marigoldward.control.duties.ProviderDuty
@@ -10,12 +11,12 @@
 import marigoldward.core.capacity.EngineScaling
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.model.DataCentre
-import marigoldward.core.model.FencingToken
 import marigoldward.core.model.PoolName
 import marigoldward.support.directory.DirectoryReading
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.SystemClocks
 
 /**
  * Orders engines from the provider while this replica leads, as [CapacityPlanner] decides. One thread does one call at
@@ -36,7 +37,7 @@
 internal class CapacityDuty(
     private val holder: String,
     private val calls: ProviderCalls,
-    private val leaderTerm: LeaderTerm,
+    leaderTerm: LeaderTerm,
     private val scaling: () -> Map<PoolName, EngineScaling>,
     private val directory: () -> DirectoryReading?,
     private val neededEngines: (PoolName) -> Double?,
@@ -49,8 +50,8 @@
 
     private var planners: Map<PoolName, CapacityPlanner> = emptyMap()
     private val unanswered = HashMap<Subject, UnansweredOrder>()
+    private val holding = DutyHolding(ProviderDuty.ENGINE_ORDERS, holder, leaderTerm)
     private var isStale = false
-    private var token: FencingToken? = null
     private val thread: Duty<Poll> = Duty.start("capacity", RING_EVENTS) { work() }
 
     /** Requests one round of the duty. */
@@ -62,17 +63,8 @@
 
     private fun work() {
         val services = scaling()
-        val current = if (services.isEmpty()) null else leaderTerm.tokenOrNull()
-        if (current != token) {
-            planners = emptyMap()
-            if (current == null) {
-                DutyMetrics.recordNotHolder(ProviderDuty.ENGINE_ORDERS, holder)
-            } else {
-                DutyMetrics.recordHolder(ProviderDuty.ENGINE_ORDERS, holder, current)
-            }
-        }
-        token = current
-        if (current == null) return
+        if (holding.refresh(isAsked = services.isNotEmpty())) planners = emptyMap()
+        if (holding.token == null) return
         val reading = directory() ?: return
         val ageMillis = MonotonicClock.nowMillis() - reading.readMillis
         recordAge(ageMillis)
@@ -122,18 +114,16 @@
         val startMillis = MonotonicClock.nowMillis()
         val earlier = unanswered[subject]?.takeIf { startMillis < it.untilMillis }
         if (earlier != null && earlier.order != order) return null
-        val confirmed = leaderTerm.confirmedOrNull() ?: return null
-        val current = confirmed.token
-        if (current != token) return null
+        val confirmed = holding.confirmedOrNull() ?: return null
         val call = ProviderCalls.EngineOrder(
             holder,
-            current,
+            confirmed.token,
             service,
             order.dataCentre,
             order.count,
             order.isReclaimable,
         )
-        val result = call(call) { confirmed.mayWriteAt(LeaderTerm.readClocks()) }
+        val result = makeCall(call) { confirmed.mayWriteAt(SystemClocks.read()) }
         DutyMetrics.recordCall(ProviderDuty.ENGINE_ORDERS, result)
         val nowMillis = MonotonicClock.nowMillis()
         log.info("engines_ordered") {
@@ -143,7 +133,7 @@
             field("reclaimable", order.isReclaimable)
             field("serving", serving?.let { "${it.regular}+${it.reclaimable}" })
             field("needed", needed?.let { "%.1f".format(it) })
-            field("token", current)
+            field("token", confirmed.token)
             field("result", result)
             field("took_ms", nowMillis - startMillis)
         }
@@ -156,7 +146,7 @@
     }
 
     /** Makes [order]. A failure of any kind must not end the process; it doesn't tell whether the order was sent. */
-    private fun call(order: ProviderCalls.EngineOrder, mayWrite: () -> Boolean): ProviderCalls.CallResult = try {
+    private fun makeCall(order: ProviderCalls.EngineOrder, mayWrite: () -> Boolean): ProviderCalls.CallResult = try {
         calls.orderEngines(order, mayWrite)
     } catch (failure: Throwable) {
         ProviderCalls.CallResult.Unknown(failure.toString())
--- a/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
+++ b/control/src/main/kotlin/marigoldward/control/cluster/ClusterProgram.kt
@@ -21,6 +21,7 @@
 import marigoldward.control.storage.ReplicaStore
 import marigoldward.control.usage.UsageDuty
 import marigoldward.control.usage.UsageExchange
+import marigoldward.core.capacity.EngineScaling
 import marigoldward.core.control.ControlCommand
 import marigoldward.core.control.ControlState
 import marigoldward.core.model.InstanceId
@@ -38,6 +39,7 @@
 import marigoldward.support.log.EventLog
 import marigoldward.support.program.ListenWait
 import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.SystemClocks
 import marigoldward.support.time.TimerService
 import marigoldward.wire.control.SubmitReply
 import marigoldward.wire.peer.DirectoryUpdate
@@ -84,9 +86,9 @@
     private val scaledServices = ScaledServices(reader) { controlState.routes }
     private val ordersEngines = provider != null && ProviderDuty.ENGINE_ORDERS in provider.duties
     private val stages =
-        StageDuty(settings.ip, engines, newLeaderTerm(), ::servicesWithOrderedEngines) { sharedDirectory.readingOrNull }
+        StageDuty(settings.ip, engines, newLeaderTerm(), { scaling().keys }) { sharedDirectory.readingOrNull }
     private val demand = DemandExchange(feed::entryCountToShare)
-    private val capacity = provider?.takeIf { ProviderDuty.ENGINE_ORDERS in it.duties }?.let { newCapacityDuty(it) }
+    private val capacity = provider?.takeIf { ordersEngines }?.let { newCapacityDuty(it) }
     private val exchanges =
         EntryExchanges(cluster, replicaThread, listOfNotNull(usage?.exchange, demand)) { replica.status }
 
@@ -139,7 +141,7 @@
             dueMillis,
             recordedWindow = { controlState.usage.lastWindow },
             term = { replica.status.term },
-            readClocks = LeaderTerm::readClocks,
+            readClocks = SystemClocks::read,
         )
         val duty = UsageDuty(
             settings.duties.holder,
@@ -153,14 +155,15 @@
         return UsageReporting(exchange, duty)
     }
 
-    private fun servicesWithOrderedEngines(): Set<PoolName> =
-        if (ordersEngines) scaledServices.current().keys else emptySet()
+    /** Returns the services whose engines this instance orders. Only the leader reads the configuration for them. */
+    private fun scaling(): Map<PoolName, EngineScaling> =
+        if (ordersEngines && replica.status.isLeader) scaledServices.current() else emptyMap()
 
     private fun newCapacityDuty(provider: Provider): CapacityDuty = CapacityDuty(
         settings.duties.holder,
         provider.calls,
         newLeaderTerm(),
-        scaledServices::current,
+        ::scaling,
         { sharedDirectory.readingOrNull },
         demand::neededEnginesOrNull,
     )
--- a/control/src/main/kotlin/marigoldward/control/replica/LeaderTerm.kt
+++ b/control/src/main/kotlin/marigoldward/control/replica/LeaderTerm.kt
@@ -3,9 +3,9 @@
 import marigoldward.core.duties.ConfirmedToken
 import marigoldward.core.duties.LeaderTenure
 import marigoldward.core.model.FencingToken
-import marigoldward.core.workspaces.ClockReading
 import marigoldward.support.duty.Duty
 import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.SystemClocks
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
@@ -25,7 +25,7 @@
 
     /** Returns the token of the current term with the time of its confirmation, or null like [tokenOrNull]. */
     fun confirmedOrNull(): ConfirmedToken? {
-        val askedAt = readClocks()
+        val askedAt = SystemClocks.read()
         val current = confirmedTermOrNull() ?: return null
         val nowMillis = MonotonicClock.nowMillis()
         tenure = tenure.withConfirmation(current, nowMillis)
@@ -43,10 +43,7 @@
         }
     }
 
-    companion object {
-        private const val CONFIRM_TIMEOUT_MILLIS = 1_000L
-
-        /** Reads the clocks by which the time since a confirmation is measured. */
-        fun readClocks(): ClockReading = ClockReading(MonotonicClock.nowMillis(), System.currentTimeMillis())
+    private companion object {
+        const val CONFIRM_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/control/src/main/kotlin/marigoldward/control/usage/UsageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/usage/UsageDuty.kt
@@ -1,5 +1,6 @@
 package marigoldward.control.usage
 
+import marigoldward.control.duties.DutyHolding
 import marigoldward.control.duties.DutyMetrics
 import marigoldward.control.duties.ProviderCalls
 import marigoldward.control.duties.ProviderDuty
@@ -12,6 +13,7 @@
 import marigoldward.support.duty.Duty
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.SystemClocks
 import marigoldward.wire.control.SubmitReply
 
 /**
@@ -28,7 +30,7 @@
 internal class UsageDuty(
     private val holder: String,
     private val calls: ProviderCalls,
-    private val leaderTerm: LeaderTerm,
+    leaderTerm: LeaderTerm,
     private val exchange: UsageExchange,
     minCallIntervalMillis: Long,
     private val recorded: () -> RecordedUsage,
@@ -36,7 +38,7 @@
 ) : AutoCloseable {
     private data object Poll
 
-    private var token: FencingToken? = null
+    private val holding = DutyHolding(ProviderDuty.USAGE_REPORTS, holder, leaderTerm)
     private var reporting = UsageReporting.withInterval(minCallIntervalMillis)
     private val resultsLog = UsageResultsLog()
     private val thread: Duty<Poll> = Duty.start("usage", RING_EVENTS) { work() }
@@ -49,28 +51,18 @@
     override fun close() = thread.close()
 
     private fun work() {
-        val current = leaderTerm.tokenOrNull()
-        if (current != token) recordHolder(current)
-        token = current ?: return
-        recordClosedWindows(current)
+        holding.refresh()
+        val held = holding.token ?: return
+        recordClosedWindows(held)
         reporting.unmarkedWindows(recorded()).take(MAX_MARKED_AT_ONCE).forEach(::mark)
-        reportOldest()
+        reportOldest(held)
         DutyMetrics.recordDue(ProviderDuty.USAGE_REPORTS, recorded().unreported.size)
     }
 
-    private fun recordHolder(current: FencingToken?) {
-        if (current == null) {
-            DutyMetrics.recordNotHolder(ProviderDuty.USAGE_REPORTS, holder)
-            token = null
-        } else {
-            DutyMetrics.recordHolder(ProviderDuty.USAGE_REPORTS, holder, current)
-        }
-    }
-
-    private fun recordClosedWindows(current: FencingToken) {
+    private fun recordClosedWindows(held: FencingToken) {
         repeat(MAX_RECORDED_AT_ONCE) {
             val nowMillis = MonotonicClock.nowMillis()
-            val closed = exchange.closedWindowOrNull(current.number, nowMillis) ?: return
+            val closed = exchange.closedWindowOrNull(held.number, nowMillis) ?: return
             val reply = submit(ControlCommand.RecordUsage(closed.number, closed.counts))
             log.info("usage_recorded") {
                 field("window", closed.number)
@@ -85,17 +77,16 @@
         }
     }
 
-    private fun reportOldest() {
+    private fun reportOldest(held: FencingToken) {
         val startMillis = MonotonicClock.nowMillis()
-        val held = token ?: return
         if (reporting.nextWindowOrNull(recorded(), held, startMillis) == null) return
-        val confirmed = leaderTerm.confirmedOrNull()?.takeIf { it.token == held } ?: return
+        val confirmed = holding.confirmedOrNull() ?: return
         // Read after the confirmation, so that the counts are those of the newest state.
         val state = recorded()
         val window = reporting.nextWindowOrNull(state, held, startMillis) ?: return
         val counts = state.unreported.getValue(window).counts
         val result = calls.reportUsage(ProviderCalls.UsageCall(holder, held, window, counts)) {
-            confirmed.mayWriteAt(LeaderTerm.readClocks())
+            confirmed.mayWriteAt(SystemClocks.read())
         }
         val nowMillis = MonotonicClock.nowMillis()
         resultsLog.record(window, held, result, nowMillis - startMillis, nowMillis)
--- a/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
+++ b/control/src/main/kotlin/marigoldward/control/usage/UsageExchange.kt
@@ -1,10 +1,10 @@
 package marigoldward.control.usage
 
 import marigoldward.control.exchange.ExchangePart
+import marigoldward.core.time.ClockReading
 import marigoldward.core.usage.TrueTimeEstimator
 import marigoldward.core.usage.UsageLedger
 import marigoldward.core.usage.UsageWindows
-import marigoldward.core.workspaces.ClockReading
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 
--- a/control/src/test/kotlin/marigoldward/control/usage/UsageDutyTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/usage/UsageDutyTest.kt
@@ -15,6 +15,7 @@
 import marigoldward.core.control.ControlStateMachine
 import marigoldward.core.usage.UsageWindows
 import marigoldward.support.duty.Duty
+import marigoldward.support.time.SystemClocks
 import marigoldward.wire.control.SubmitReply
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.seconds
@@ -57,7 +58,7 @@
         }
         replica.use {
             val exchange = UsageExchange(UsageWindows(5_000), 10_000, { state.usage.lastWindow }, { term ?: 0 }) {
-                LeaderTerm.readClocks()
+                SystemClocks.read()
             }
             val leaderTerm = LeaderTerm(replica, takeoverDelayMillis = 0)
             UsageDuty("machine-1", calls, leaderTerm, exchange, 1, { state.usage }, ::submit)
--- a/core/src/main/kotlin/marigoldward/core/duties/ConfirmedToken.kt
+++ b/core/src/main/kotlin/marigoldward/core/duties/ConfirmedToken.kt
@@ -1,7 +1,7 @@
 package marigoldward.core.duties
 
 import marigoldward.core.model.FencingToken
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 
 /**
  * A fencing token that a majority has confirmed to be the current one, at some time after [askedAt].
--- a/core/src/main/kotlin/marigoldward/core/workspaces/ClockReading.kt
+++ b/core/src/main/kotlin/marigoldward/core/time/ClockReading.kt
@@ -1,4 +1,4 @@
-package marigoldward.core.workspaces
+package marigoldward.core.time
 
 /**
  * The clocks of a process at one time. The monotonic clock stands still while the machine is suspended, and the time of
--- a/core/src/main/kotlin/marigoldward/core/usage/UsageCounter.kt
+++ b/core/src/main/kotlin/marigoldward/core/usage/UsageCounter.kt
@@ -1,6 +1,6 @@
 package marigoldward.core.usage
 
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.core.workspaces.WorkspaceName
 import java.util.TreeMap
 
--- a/core/src/main/kotlin/marigoldward/core/workspaces/ConfigurationFreshness.kt
+++ b/core/src/main/kotlin/marigoldward/core/workspaces/ConfigurationFreshness.kt
@@ -1,5 +1,7 @@
 package marigoldward.core.workspaces
 
+import marigoldward.core.time.ClockReading
+
 /**
  * Decides whether a gateway may still accept keys of its configuration: whether the configuration in force was the newest
  * at a time that is recent enough.
@@ -27,6 +29,7 @@
 
     /** Returns the state at [now]. To be called at short intervals, and before each decision. */
     public fun at(now: ClockReading): ConfigurationFreshness {
+        if (now == lastReading) return this
         val isConsistent = lastReading == null || now.millisSinceOrNull(lastReading) != null
         val voidUntil = if (isConsistent) voidUntilMillis else now.monotonicMillis
         val kept = confirmations.filter { isValid(it.askedAt, now, voidUntil) }
--- a/core/src/test/kotlin/marigoldward/core/usage/UsageCounterTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/usage/UsageCounterTest.kt
@@ -4,7 +4,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.core.workspaces.WorkspaceName
 
 private val SMALL = WorkspaceName.parse("small")
--- a/core/src/test/kotlin/marigoldward/core/usage/UsageSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/usage/UsageSchedule.kt
@@ -8,7 +8,7 @@
 import marigoldward.core.duties.ConfirmedToken
 import marigoldward.core.duties.LeaderTenure
 import marigoldward.core.model.FencingToken
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.core.workspaces.WorkspaceName
 import java.util.PriorityQueue
 import java.util.TreeMap
--- a/core/src/test/kotlin/marigoldward/core/workspaces/ConfigurationFreshnessTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/workspaces/ConfigurationFreshnessTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldNotBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import marigoldward.core.time.ClockReading
 import kotlin.random.Random
 
 private const val REVOCATION_MILLIS = 5_000L
--- a/core/src/test/kotlin/marigoldward/core/workspaces/RevocationSchedule.kt
+++ b/core/src/test/kotlin/marigoldward/core/workspaces/RevocationSchedule.kt
@@ -1,5 +1,6 @@
 package marigoldward.core.workspaces
 
+import marigoldward.core.time.ClockReading
 import kotlin.random.Random
 
 /**
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ConfirmedRoutes.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ConfirmedRoutes.kt
@@ -1,9 +1,10 @@
 package marigoldward.gateway.control
 
 import marigoldward.core.routes.RouteConfiguration
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.core.workspaces.ConfigurationFreshness
 import marigoldward.gateway.GatewayMetrics
+import marigoldward.support.time.SystemClocks
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ControlExchange.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ControlExchange.kt
@@ -2,9 +2,10 @@
 
 import io.grpc.stub.StreamObserver
 import marigoldward.core.model.InstanceId
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.support.log.EventLog
 import marigoldward.support.time.MonotonicClock
+import marigoldward.support.time.SystemClocks
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 import marigoldward.wire.feed.ExchangeRpc
--- a/gateway/src/main/kotlin/marigoldward/gateway/control/ExchangePart.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/control/ExchangePart.kt
@@ -1,6 +1,6 @@
 package marigoldward.gateway.control
 
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/demand/MeasuredDemand.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/demand/MeasuredDemand.kt
@@ -2,7 +2,7 @@
 
 import marigoldward.core.capacity.ServiceDemand
 import marigoldward.core.model.PoolName
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.gateway.control.ExchangePart
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
--- a/gateway/src/main/kotlin/marigoldward/gateway/usage/MeteredUsage.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/usage/MeteredUsage.kt
@@ -1,11 +1,11 @@
 package marigoldward.gateway.usage
 
+import marigoldward.core.time.ClockReading
 import marigoldward.core.usage.UsageCounter
 import marigoldward.core.usage.UsageWindows
-import marigoldward.core.workspaces.ClockReading
 import marigoldward.core.workspaces.Workspace
 import marigoldward.gateway.control.ExchangePart
-import marigoldward.gateway.control.SystemClocks
+import marigoldward.support.time.SystemClocks
 import marigoldward.wire.feed.EntryExchangeReply
 import marigoldward.wire.feed.EntryExchangeRequest
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/control/ConfirmedRoutesTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/control/ConfirmedRoutesTest.kt
@@ -5,7 +5,7 @@
 import marigoldward.core.getOrNull
 import marigoldward.core.routes.CallerLimits
 import marigoldward.core.routes.RouteConfiguration
-import marigoldward.core.workspaces.ClockReading
+import marigoldward.core.time.ClockReading
 import marigoldward.core.workspaces.Workspace
 import marigoldward.wire.feed.EntryExchangeReply
 
--- a/gateway/src/test/kotlin/marigoldward/gateway/usage/MeteredUsageTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/usage/MeteredUsageTest.kt
@@ -4,8 +4,8 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import marigoldward.core.model.InstanceId
+import marigoldward.core.time.ClockReading
 import marigoldward.core.usage.UsageReport
-import marigoldward.core.workspaces.ClockReading
 import marigoldward.core.workspaces.Workspace
 import marigoldward.core.workspaces.WorkspaceName
 import marigoldward.wire.feed.EntryExchangeReply
