Add review case 9: endless bodies of answers hang entries

Cause: an entry keeps up to 4 MiB of each answer that is no signed stream, without a bound over all answers, so some dozens of them fill its heap and hold its event loop up.

--- a/review/standin-2/src/ModelEngine.java
+++ b/review/standin-2/src/ModelEngine.java
@@ -8,7 +8,8 @@
 /**
  * A model engine with prefill and decode. Its streams are events with increasing ids. They come with neither a length nor
  * chunks and end with their channel, or in chunks if so asked. A prompt with the deadly part crashes an engine that begins
- * to write an answer on it; it is back after some seconds, as a new boot.
+ * to write an answer on it; it is back after some seconds, as a new boot. An engine may also send bytes without end that are
+ * no answer.
  */
 final class ModelEngine extends Engine {
     static final int SLOTS = 64;
@@ -19,6 +20,17 @@
 
     /** Told of what happens at an engine. */
     interface Listener {
+        /** Does nothing. */
+        Listener NONE = new Listener() {
+            @Override
+            public void arrived(ModelEngine engine, Message request) {
+            }
+
+            @Override
+            public void crashed(ModelEngine engine, Message request) {
+            }
+        };
+
         /** A request arrived that is no prefill and is meant for this engine. */
         void arrived(ModelEngine engine, Message request);
 
@@ -30,6 +42,8 @@
     final boolean isChunked;
     volatile String stage;
     volatile boolean isUp = true;
+    /** How many bytes a second of what is no answer the engine sends, without end; 0 if it is sound. */
+    volatile int endlessBytesPerSecond;
     private volatile long busyUntil;
     private volatile int sequence;
     private volatile long highestFence;
@@ -118,6 +132,10 @@
             respond(out, 503, echo + load + "Not-Executed: 1\r\n", "");
             return true;
         }
+        if (endlessBytesPerSecond > 0) {
+            endless(out, echo);
+            return false;
+        }
         running.incrementAndGet();
         try {
             Thread.sleep(30);
@@ -143,6 +161,17 @@
         }
     }
 
+    /** Sends bytes that are no answer until the caller closes. */
+    private void endless(OutputStream out, String echo) throws Exception {
+        write(out, "HTTP/1.1 200 OK\r\n" + echo + "Content-Type: text/event-stream\r\n\r\n");
+        byte[] bytes = new byte[endlessBytesPerSecond / 20];
+        java.util.Arrays.fill(bytes, (byte) 'x');
+        while (true) {
+            out.write(bytes);
+            Thread.sleep(50);
+        }
+    }
+
     private void part(OutputStream out, String text) throws IOException {
         write(out, isChunked ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text);
     }
