Tell the starts of an upstream apart by the time of the start

Cause: what is known of an upstream is kept by id and address. An announcement that it leaves ended only with another address, a cold start, an absence of a second or 5 s without any list. born, the time of the start, was read nowhere. The same held for refusals with Retry-After, ejections, silence, attempts in progress, prefixes, idle connections, crashes, and at control for open orders.

Change: ListedUpstream.startedUnixMillis, from the list and, at control, from reports; isNewStartAfter is the one rule for a new start. A new start gets a new record, attempts know the start that they were sent to, and what comes late of an earlier one changes nothing. Crash evidence and open orders are kept for a start.

DispatcherTest "keeps the record of an upstream, unless its address has changed" took an upstream that is cold after it was warm for the same start, which is a new one by the protocol. It checks a change from cold to warm and of the slots now, and a new case that a start which is cold again is new.

--- a/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
+++ b/control/src/main/kotlin/marigoldward/control/feed/CrashReports.kt
@@ -91,7 +91,7 @@
     /** Returns the commands for [report] that would change the state. */
     private fun newCommands(report: CrashReport): List<ControlCommand> {
         val snapshot = state
-        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests) }
+        val crashes = report.crashes.map { ControlCommand.ReportCrash(it.upstream, it.requests, it.startedUnixMillis) }
         return (listOf(ControlCommand.ClearSuspects(report.answered)) + crashes)
             .filter { ControlStateMachine.apply(snapshot, 0, it).state !== snapshot }
     }
--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -21,8 +21,9 @@
  *
  * The term is the fencing token. An order of the previous leader may still arrive for a while, so a new leader sends
  * none until its takeover delay is over. Right before each order, a quorum confirms that this replica still leads. An
- * engine that did not answer an order gets no other until that one can't arrive any more. An engine that is leaving, by
- * the directory or by its own answers, gets no order and isn't asked for its status.
+ * engine that did not answer an order gets no other until that one can't arrive any more or the engine has started again,
+ * as an order ends with the process that was to carry it out. An engine that is leaving, by the directory or by its own
+ * answers, gets no order and isn't asked for its status.
  *
  * @param scaledServices returns the services whose engines are ordered and given up while they run
  * @param directory returns the list of upstreams, or null if there is none yet
@@ -40,6 +41,7 @@
     private val blockedUntilMillis = HashMap<UpstreamId, Long>()
     private val unreachable = HashSet<UpstreamId>()
     private val leavingUpstreams = LeavingUpstreams()
+    private val starts = EngineStarts()
 
     /** The token of the term in which this replica was last found to lead. */
     private var token = FencingToken.NONE
@@ -64,6 +66,8 @@
         if (token == staleToken) return
         val reading = directory() ?: return
         val scaled = scaledServices()
+        reading.upstreams.forEach { recordStart(it, "list") }
+        starts.retain(reading.upstreams.mapTo(HashSet()) { it.id })
         leavingUpstreams
             .apply(reading.upstreams, reading.readMillis)
             .upstreams
@@ -91,6 +95,7 @@
         return when (val read = reply.result) {
             is Outcome.Success -> {
                 if (unreachable.remove(engine.id)) log.info("engine_regained") { field("engine", engine.id) }
+                read.value.startedUnixMillis?.let { recordStart(engine.copy(startedUnixMillis = it), "report") }
                 read.value.takeUnless { reply.isLeaving }
             }
             is Outcome.Failure -> {
@@ -105,6 +110,19 @@
         }
     }
 
+    private fun recordStart(engine: ListedUpstream, source: String) {
+        if (!starts.record(engine)) return
+        val wasBlocked = blockedUntilMillis.remove(engine.id) != null
+        unreachable.remove(engine.id)
+        log.info("engine_restarted") {
+            field("engine", engine.id)
+            field("address", engine.address)
+            field("started", engine.startedUnixMillis)
+            field("source", source)
+            field("had_open_order", wasBlocked)
+        }
+    }
+
     private fun recordLeaving(engine: ListedUpstream, source: String) {
         if (!leavingUpstreams.recordAnswer(engine, MonotonicClock.nowMillis())) return
         log.info("upstream_leaving") {
--- a/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
+++ b/control/src/test/kotlin/marigoldward/control/stages/StageDutyTest.kt
@@ -35,6 +35,9 @@
 
 private val ENGINES = (1..4).map(::engine)
 
+/** Longer than the pause of the planner after an order, and a third of the time for which an order may be carried out. */
+private const val CHANGE_INTERVAL_MILLIS = 4_500L
+
 private fun statusOf(engine: ListedUpstream) =
     EngineStatus(engine, EngineStage.DECODE, 0, 0, 0.0, isExecutingOrder = false, orderSequence = 0)
 
@@ -71,14 +74,46 @@
     }
 }
 
-/** Calls [action] with a duty that orders [engines]. */
-private suspend fun withDuty(engines: EngineControl, action: suspend (StageDuty) -> Unit) {
+/** Engines that answer no order, and report that they have started at [startedUnixMillis]. */
+private class UnansweringEngines : EngineControl {
+    val reads = AtomicInteger()
+    val orders = CopyOnWriteArrayList<UpstreamId>()
+
+    @Volatile
+    var startedUnixMillis = 1_000L
+
+    override fun readStatus(engine: ListedUpstream): EngineControl.Reply<Outcome<EngineStatus, String>> {
+        reads.incrementAndGet()
+        val status = statusOf(engine).copy(startedUnixMillis = startedUnixMillis)
+        return EngineControl.Reply(Outcome.Success(status), isLeaving = false)
+    }
+
+    override fun send(order: EngineControl.StageOrder): EngineControl.Reply<EngineControl.OrderResult> {
+        orders.add(order.engine.id)
+        return EngineControl.Reply(EngineControl.OrderResult.Unknown("no answer"), isLeaving = false)
+    }
+
+    /** Polls [duty] once, and waits until orders may follow from the next poll. */
+    fun poll(duty: StageDuty) {
+        val readsBefore = reads.get()
+        duty.poll()
+        while (reads.get() < readsBefore + ENGINES.size) Thread.sleep(5)
+        Thread.sleep(CHANGE_INTERVAL_MILLIS)
+    }
+}
+
+/** Calls [action] with a duty that orders [engines], listed as [list] returns them. */
+private suspend fun withDuty(
+    engines: EngineControl,
+    list: () -> List<ListedUpstream> = { ENGINES },
+    action: suspend (StageDuty) -> Unit,
+) {
     val replica = Duty.start<ReplicaDutyEvent>("replica", 64) { events ->
         events.filterIsInstance<ReplicaDutyEvent.ReadLeaderTerm>().forEach { it.answer(1) }
     }
     replica.use {
         StageDuty(InstanceId.parse("10.0.0.1"), engines, LeaderTerm(replica, takeoverDelayMillis = 0)) {
-            DirectoryReading(ENGINES, MonotonicClock.nowMillis())
+            DirectoryReading(list(), MonotonicClock.nowMillis())
         }.use { duty -> action(duty) }
     }
 }
@@ -113,6 +148,34 @@
                 engines.reports.count { it == ordered } shouldBe 1
             }
         }
+        describe("an engine that has left an order unanswered") {
+            it("gets no other while it may still be carried out") {
+                val engines = UnansweringEngines()
+                withDuty(engines) { duty -> repeat(3) { engines.poll(duty) } }
+                engines.orders.distinct().size shouldBe engines.orders.size
+                engines.orders.shouldNotBeEmpty()
+            }
+            // Guards against an engine that starts again and stays without orders because of one to the start before.
+            it("gets orders again once it reports another start, though the list is behind") {
+                val engines = UnansweringEngines()
+                withDuty(engines, { ENGINES.map { it.copy(startedUnixMillis = 1_000) } }) { duty ->
+                    engines.poll(duty)
+                    engines.startedUnixMillis = 2_000
+                    engines.poll(duty)
+                }
+                engines.orders.groupingBy { it }.eachCount().values.max() shouldBe 2
+            }
+            it("gets orders again once the list shows another start") {
+                val engines = UnansweringEngines()
+                var listed = ENGINES
+                withDuty(engines, { listed }) { duty ->
+                    engines.poll(duty)
+                    listed = ENGINES.map { it.copy(address = it.address.replace("127.0.0.1", "127.0.0.2")) }
+                    engines.poll(duty)
+                }
+                engines.orders.groupingBy { it }.eachCount().values.max() shouldBe 2
+            }
+        }
         // An engine whose answer or address was not expected halted the control instance with exit code 70.
         describe("an exception in a call to an engine") {
             it("doesn't end the process when the status is read") {
--- a/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/ControlCommand.kt
@@ -105,10 +105,18 @@
         override val approximateBytes: Long get() = BASE_SIZE_BYTES + document.compressed.size
     }
 
-    /** Reports that [upstream] crashed while it was answering [requests]. */
+    /**
+     * Reports that [upstream] crashed while it was answering [requests].
+     *
+     * @property startedUnixMillis when the upstream had started, in milliseconds of Unix time, or null if not known
+     */
     @Serializable
     @SerialName("report-crash")
-    public data class ReportCrash(val upstream: UpstreamId, val requests: List<LostRequest>) : ControlCommand {
+    public data class ReportCrash(
+        val upstream: UpstreamId,
+        val requests: List<LostRequest>,
+        val startedUnixMillis: Long? = null,
+    ) : ControlCommand {
         override val approximateBytes: Long
             get() = BASE_SIZE_BYTES + requests.sumOf { it.suspects.size } * SUSPECT_SIZE_BYTES
     }
--- a/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/Suspicion.kt
@@ -17,11 +17,21 @@
      * @property fingerprints all fingerprints of the requests that were lost in the crash and had the suspected one
      * @property boot tells apart the crashes of an upstream that starts again under its id: a later one has a larger
      *   number
+     * @property startedUnixMillis when the upstream had started, in milliseconds of Unix time, or null if not known
      */
     @Serializable
-    public data class Crash(val upstream: UpstreamId, val fingerprints: List<Fingerprint>, val boot: Int = 0) {
+    public data class Crash(
+        val upstream: UpstreamId,
+        val fingerprints: List<Fingerprint>,
+        val boot: Int = 0,
+        val startedUnixMillis: Long? = null,
+    ) {
         /** Identifies the crash, which other suspicions may include too. */
         internal val key: Pair<UpstreamId, Int> get() = upstream to boot
+
+        /** Whether the upstream had certainly started at another time than [otherUnixMillis] when it crashed. */
+        internal fun isOfOtherStart(otherUnixMillis: Long?): Boolean =
+            startedUnixMillis != null && otherUnixMillis != null && startedUnixMillis != otherUnixMillis
     }
 
     /** The fingerprints that may have caused every one of the crashes, the suspected one among them. */
--- a/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
+++ b/core/src/main/kotlin/marigoldward/core/control/internal/CrashEvidence.kt
@@ -16,7 +16,8 @@
  * Every request that an upstream was answering when it crashed is a suspect. Crashes under a fingerprint count if they
  * come one after the other, each of them after the crash before it was known to the reporter, and no request with the
  * fingerprint was answered in between. So upstreams that fail together count once. An upstream may start again under its
- * id and crash again: a crash counts too if the lost request was sent after all crashes before it were known.
+ * id and crash again: a crash counts too if the time of the start differs, or if the lost request was sent after all
+ * crashes before it were known.
  *
  * From [Suspicion.QUARANTINE_CRASHES] crashes on, a fingerprint is quarantined if it explains a crash that no more
  * likely one explains. Fingerprints that were lost together in each crash cannot be told apart: the quarantine holds
@@ -35,7 +36,7 @@
             .thenBy { entry -> entry.value.crashes.sumOf { it.fingerprints.size } }
 
     fun report(state: ControlState, command: ControlCommand.ReportCrash): AppliedCommand {
-        val reported = command.requests.fold(state) { current, request -> add(current, command.upstream, request) }
+        val reported = command.requests.fold(state) { current, request -> add(current, command, request) }
         if (reported === state) return AppliedCommand(state, ControlOutcome.Done)
         return AppliedCommand(withNewVersion(withQuarantines(reported)), ControlOutcome.Done)
     }
@@ -81,27 +82,38 @@
         )
     }
 
-    private fun add(state: ControlState, upstream: UpstreamId, request: LostRequest): ControlState {
+    private fun add(state: ControlState, command: ControlCommand.ReportCrash, request: LostRequest): ControlState {
         val fingerprints = request.suspects.map { it.fingerprint }
         return request.suspects.fold(state) { current, suspect ->
             val before = current.suspects[suspect.fingerprint]
-            val crash =
-                Suspicion.Crash(upstream, fingerprints.take(MAX_FINGERPRINTS_PER_CRASH), lastBoot(current, upstream))
+            val crash = Suspicion.Crash(
+                command.upstream,
+                fingerprints.take(MAX_FINGERPRINTS_PER_CRASH),
+                bootOf(current, command),
+                command.startedUnixMillis,
+            )
             val after = if (before == null) Suspicion(listOf(crash)) else withCrash(before, crash, suspect)
             if (after == before) current else withSuspicion(current, suspect.fingerprint, after)
         }
     }
 
-    /** Returns the boot of the last crash of [upstream] under any fingerprint, or 0 if there is none. */
-    private fun lastBoot(state: ControlState, upstream: UpstreamId): Int =
-        state.suspects.values.flatMap { it.crashes }.filter { it.upstream == upstream }.maxOfOrNull { it.boot } ?: 0
+    /**
+     * Returns the boot of the last crash of the upstream under any fingerprint, the next one if that was certainly another
+     * start, or 0 if there is no crash.
+     */
+    private fun bootOf(state: ControlState, command: ControlCommand.ReportCrash): Int {
+        val crashes = state.suspects.values.flatMap { it.crashes }.filter { it.upstream == command.upstream }
+        val last = crashes.maxByOrNull { it.boot } ?: return 0
+        return if (last.isOfOtherStart(command.startedUnixMillis)) last.boot + 1 else last.boot
+    }
 
-    /** Adds [crash], whose boot is that of the last known crash of its upstream under any fingerprint. */
+    /** Adds [crash], whose boot is that of the last known crash of its upstream under any fingerprint, or the next. */
     private fun withCrash(before: Suspicion, crash: Suspicion.Crash, suspect: LostRequest.Suspect): Suspicion {
         val crashes = before.crashes
         val known = crashes.lastOrNull { it.upstream == crash.upstream }
+        val mayBeSameStart = known != null && !known.isOfOtherStart(crash.startedUnixMillis)
         return when {
-            known != null && suspect.knownWhenSent < crashes.size ->
+            mayBeSameStart && suspect.knownWhenSent < crashes.size ->
                 before.copy(crashes = crashes.map { if (it === known) withLost(it, crash.fingerprints) else it })
             suspect.knownCrashes < crashes.size || crashes.size >= MAX_CRASHES -> before
             known?.boot == crash.boot -> before.copy(crashes = crashes + crash.copy(boot = crash.boot + 1))
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Attempt.kt
@@ -10,6 +10,7 @@
  * @property isPromptPending whether the prompt has still to be processed, or its KV cache to be received
  * @property startedMillis when it was sent, in milliseconds of monotonic time
  * @property kind the kind of work, for a request to a plain service; null if unknown
+ * @property startNumber the start of the upstream that it was sent to
  */
 public data class Attempt(
     val number: Long,
@@ -18,6 +19,7 @@
     val isPromptPending: Boolean,
     val startedMillis: Long,
     val kind: String? = null,
+    val startNumber: Long = 0,
 ) {
     /** Whether the upstream receives the KV cache of the prompt from another engine. */
     val isCacheTransfer: Boolean get() = prefillTokens == CACHE_TRANSFER_PREFILL_TOKENS
--- a/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/Dispatcher.kt
@@ -21,6 +21,7 @@
     private val leavingUpstreams = LeavingUpstreams()
     private var nextAttemptNumber = 1L
     private var nextDrawNumber = 1L
+    private var nextStartNumber = 1L
     private var averagePrefillDelay = PrefillDelay.NONE
     private var directPrefillRate = DirectPrefillRate.NONE
     private val retentionEstimator = CacheRetentionEstimator()
@@ -38,19 +39,26 @@
     }
 
     /**
-     * Replaces the list of upstreams by [upstreams], which was read at [readMillis]. An upstream that stays listed under
-     * the same address keeps its record, and stays leaving, as [LeavingUpstreams] defines it.
+     * Replaces the list of upstreams by [upstreams], which was read at [readMillis]. An upstream that stays listed keeps its
+     * record, and stays leaving, as [LeavingUpstreams] defines it. One that has started again gets a new record: nothing
+     * that was observed of the start before holds for it, and attempts in progress there aren't its own.
      */
     public fun updateUpstreams(upstreams: List<ListedUpstream>, readMillis: Long): LeavingUpstreams.AppliedList {
         val applied = leavingUpstreams.apply(upstreams, readMillis)
+        val returnedIds = applied.returned.mapTo(HashSet()) { it.id }
+        val restarted = applied.upstreams.filter { listed ->
+            val known = records[listed.id] ?: return@filter false
+            listed.id in returnedIds || listed.isNewStartAfter(known.listed)
+        }
+        val restartedIds = restarted.mapTo(HashSet()) { it.id }
         val updated = applied.upstreams.associate { listed ->
-            val known = records[listed.id]?.takeIf { it.listed.address == listed.address }
-            listed.id to (known?.copy(listed = listed) ?: UpstreamRecord.fromListed(listed))
+            val known = records[listed.id]?.takeIf { listed.id !in restartedIds }
+            listed.id to (known?.listedAgain(listed) ?: UpstreamRecord.fromListed(listed, nextStartNumber++))
         }
         val absent = records.filter { (id, record) -> id !in updated && record.attempts.isNotEmpty() }
         val retained = absent.mapValues { (_, record) -> record.copy(listed = record.listed.copy(isLeaving = true)) }
         records = (updated + retained).toPersistentMap()
-        return applied
+        return applied.copy(restarted = restarted)
     }
 
     /**
@@ -59,7 +67,7 @@
      */
     public fun recordLeaving(upstream: ListedUpstream, nowMillis: Long): Boolean {
         val record = records[upstream.id]
-        if (record != null && record.listed.address != upstream.address) return false
+        if (record != null && record.listed.isOtherStartThan(upstream)) return false
         if (!leavingUpstreams.recordAnswer(upstream, nowMillis)) return false
         update(upstream.id) { it.copy(listed = it.listed.copy(isLeaving = true)) }
         return true
@@ -159,7 +167,9 @@
         kind: String? = null,
     ): Attempt {
         val isPromptPending = prefillTokens > 0
-        val attempt = Attempt(nextAttemptNumber++, upstream, prefillTokens, isPromptPending, nowMillis, kind)
+        val startNumber = records[upstream]?.startNumber ?: 0
+        val attempt =
+            Attempt(nextAttemptNumber++, upstream, prefillTokens, isPromptPending, nowMillis, kind, startNumber)
         update(upstream) { record ->
             val counted = record.copy(attempts = record.attempts.put(attempt.number, attempt))
             if (prompt == null) counted else withSentPrompt(counted, prompt, attempt)
@@ -198,9 +208,10 @@
 
     /**
      * Records that [attempt] ended as [end] at [nowMillis]; [hasReceivedBytes] is whether bytes of its own answer were
-     * received, malformed ones included.
+     * received, malformed ones included. Does nothing if the upstream has started again since it was sent.
      */
     public fun recordEnd(attempt: Attempt, end: AttemptEnd, nowMillis: Long, hasReceivedBytes: Boolean = false) {
+        if (hasRestartedSince(attempt)) return
         update(attempt.upstream) { record ->
             record.copy(
                 attempts = record.attempts.remove(attempt.number),
@@ -210,6 +221,10 @@
         }
     }
 
+    /** Whether the upstream of [attempt] was listed as started again since the attempt was sent. */
+    public fun hasRestartedSince(attempt: Attempt): Boolean =
+        records[attempt.upstream]?.let { it.startNumber != attempt.startNumber } ?: false
+
     /** Returns the speed of [record] after [attempt] was answered there at [nowMillis]. */
     private fun speedAfter(attempt: Attempt, record: UpstreamRecord, nowMillis: Long): UpstreamSpeed {
         val kind = attempt.kind
--- a/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/LeavingUpstreams.kt
@@ -8,11 +8,12 @@
  * The upstreams that have announced that they are leaving, in an answer or through the directory.
  *
  * An announcement is final for the start of the upstream that made it, since a list that names the upstream as ready may
- * be older than the announcement, whatever its age. A start is identified by id and address. A directory that keeps both
- * shows a new start in one of two ways: the upstream is cold again, or it was absent for [MIN_ABSENCE_MILLIS]. A shorter
- * absence may be an entry that was left out because the list changed while its pages were read. If no list was read for
- * [MIN_UNOBSERVED_MILLIS], a new start may have gone unseen, and the next list decides. One that is still leaving says so
- * again in its next answer.
+ * be older than the announcement, whatever its age. A start is identified by id, address and, if the directory tells it,
+ * the time of the start. A directory that doesn't shows a new start in one of three ways: the upstream is cold again, it
+ * was absent for [MIN_ABSENCE_MILLIS], or it was listed as leaving and is listed as ready for [MIN_READY_MILLIS] since. A
+ * shorter absence may be an entry that was left out because the list changed while its pages were read. If no list was
+ * read for [MIN_UNOBSERVED_MILLIS], a new start may have gone unseen, and the next list decides. One that is still
+ * leaving says so again in its next answer.
  *
  * Has no clock of its own and is not thread-safe. Times are in milliseconds of monotonic time.
  */
@@ -21,16 +22,28 @@
     private var lastReadMillis: Long? = null
 
     /**
-     * @property isWarm whether the upstream was last listed as warm
+     * @property upstream the upstream as it was last listed, with the time of its start if that was ever listed
      * @property absentSinceMillis when the first list was read that doesn't name the upstream, or null if the last one
      *   names it
+     * @property wasListedLeaving whether a list has named the upstream as leaving
+     * @property readySinceMillis when the first list was read that names it as ready after one that named it as leaving,
+     *   or null if the last one doesn't name it as ready
      */
     private data class Announcement(
-        val address: String,
+        val upstream: ListedUpstream,
         val announcedMillis: Long,
-        val isWarm: Boolean,
-        val absentSinceMillis: Long?,
-    )
+        val absentSinceMillis: Long? = null,
+        val wasListedLeaving: Boolean = upstream.isLeaving,
+        val readySinceMillis: Long? = null,
+    ) {
+        /** Returns the announcement after a list, read at [readMillis], that names the upstream as [listed]. */
+        fun afterListed(listed: ListedUpstream, readMillis: Long) = copy(
+            upstream = listed.copy(startedUnixMillis = listed.startedUnixMillis ?: upstream.startedUnixMillis),
+            absentSinceMillis = null,
+            wasListedLeaving = wasListedLeaving || listed.isLeaving,
+            readySinceMillis = if (wasListedLeaving && !listed.isLeaving) readySinceMillis ?: readMillis else null,
+        )
+    }
 
     /**
      * The result of applying a list.
@@ -38,16 +51,18 @@
      * @property upstreams the upstreams of the list; those that have announced it are marked as leaving
      * @property left the upstreams that announced through this list, for the first time, that they are leaving
      * @property returned the upstreams that have started again since they announced it
+     * @property restarted the upstreams that have started again since the list before, whether or not they announced it
      */
     public data class AppliedList(
         val upstreams: List<ListedUpstream>,
         val left: List<ListedUpstream>,
         val returned: List<ListedUpstream>,
+        val restarted: List<ListedUpstream> = emptyList(),
     )
 
     /** Whether this start of [upstream] has announced that it is leaving. */
     public operator fun contains(upstream: ListedUpstream): Boolean =
-        announcements[upstream.id]?.let { it.address == upstream.address } ?: false
+        announcements[upstream.id]?.let { !upstream.isOtherStartThan(it.upstream) } ?: false
 
     /**
      * Records that [upstream] announced in an answer, received at [nowMillis], that it is leaving, and returns whether
@@ -55,7 +70,7 @@
      */
     public fun recordAnswer(upstream: ListedUpstream, nowMillis: Long): Boolean {
         if (upstream in this) return false
-        announcements = announcements.put(upstream.id, announcement(upstream, nowMillis))
+        announcements = announcements.put(upstream.id, Announcement(upstream, nowMillis))
         return true
     }
 
@@ -70,20 +85,19 @@
         newStarts.forEach { announcements = announcements.remove(it.id) }
         recordAbsent(list, readMillis)
         val left = list.filter { it.isLeaving && it !in this }
-        left.forEach { announcements = announcements.put(it.id, announcement(it, readMillis)) }
+        left.forEach { announcements = announcements.put(it.id, Announcement(it, readMillis)) }
         val marked = list.map { if (it in this) it.copy(isLeaving = true) else it }
         return AppliedList(marked, left, newStarts.filter { !it.isLeaving })
     }
 
-    private fun announcement(upstream: ListedUpstream, nowMillis: Long) =
-        Announcement(upstream.address, nowMillis, isWarm = !upstream.isCold, absentSinceMillis = null)
-
     private fun isNewStart(listed: ListedUpstream, readMillis: Long, unobservedMillis: Long): Boolean {
         val known = announcements[listed.id] ?: return false
         val knownForMillis = readMillis - known.announcedMillis
+        val readyForMillis = known.readySinceMillis?.let { readMillis - it } ?: 0
         return when {
-            listed.address != known.address -> true
-            knownForMillis > 0 && listed.isCold && known.isWarm -> true
+            listed.isOtherStartThan(known.upstream) -> true
+            knownForMillis > 0 && listed.isNewStartAfter(known.upstream) -> true
+            readyForMillis >= MIN_READY_MILLIS && !listed.isLeaving -> true
             else -> minOf(unobservedMillis, knownForMillis) >= MIN_UNOBSERVED_MILLIS && !listed.isLeaving
         }
     }
@@ -96,8 +110,7 @@
             val current = listed[id]
             val absentSinceMillis = known.absentSinceMillis ?: readMillis
             announcements = when {
-                current != null ->
-                    announcements.put(id, known.copy(isWarm = !current.isCold, absentSinceMillis = null))
+                current != null -> announcements.put(id, known.afterListed(current, readMillis))
                 readMillis <= known.announcedMillis -> announcements
                 readMillis - absentSinceMillis >= MIN_ABSENCE_MILLIS -> announcements.remove(id)
                 else -> announcements.put(id, known.copy(absentSinceMillis = absentSinceMillis))
@@ -109,6 +122,9 @@
         /** Longer than the time between two readings of the directory. */
         const val MIN_ABSENCE_MILLIS = 1_000L
 
+        /** Longer than any list is behind another one that was read before it. */
+        const val MIN_READY_MILLIS = 5_000L
+
         /** The shortest time in which an upstream that is leaving may have ended and started again. */
         const val MIN_UNOBSERVED_MILLIS = 5_000L
     }
--- a/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
+++ b/core/src/main/kotlin/marigoldward/core/dispatch/UpstreamRecord.kt
@@ -13,6 +13,7 @@
  * @property prefillDelay the delay of the last prompt that was processed
  * @property prefixUses the gateway's last use of each prefix, by its key, the least recent first
  * @property speed how long work takes on the upstream
+ * @property startNumber distinguishes the starts of the upstream that the gateway has seen
  */
 public data class UpstreamRecord(
     val listed: ListedUpstream,
@@ -24,6 +25,7 @@
     val prefillDelay: PrefillDelay,
     val prefixUses: PersistentMap<Long, PrefixUse>,
     val speed: UpstreamSpeed = UpstreamSpeed.UNKNOWN,
+    val startNumber: Long = 0,
 ) {
     /** The prompt tokens that the upstream has still to process for the gateway's attempts. */
     val ownPendingPrefillTokens: Long
@@ -90,6 +92,10 @@
         return nowMillis - use.usedMillis < MAX_PREFIX_AGE_MILLIS && retention.isKept(use.sentTokens)
     }
 
+    /** Returns the record after the same start was listed as [latest], which may leave out the time of the start. */
+    internal fun listedAgain(latest: ListedUpstream): UpstreamRecord =
+        copy(listed = latest.copy(startedUnixMillis = latest.startedUnixMillis ?: listed.startedUnixMillis))
+
     internal fun withPrefixUses(prompt: Prompt, retention: CacheRetention, nowMillis: Long): UpstreamRecord {
         val use = PrefixUse(nowMillis, retention.sentTokens)
         val extended = prompt.prefixKeys.dropLast(1).fold(prefixUses) { uses, key -> uses.remove(key).put(key, use) }
@@ -111,8 +117,8 @@
         private const val MAX_PREFIX_AGE_MILLIS = 20_000L
         private const val MAX_PREFIXES = 512
 
-        /** Returns the initial record of an upstream that was just listed. */
-        public fun fromListed(listed: ListedUpstream): UpstreamRecord = UpstreamRecord(
+        /** Returns the initial record of a start, numbered [startNumber], of an upstream that was just listed. */
+        public fun fromListed(listed: ListedUpstream, startNumber: Long = 0): UpstreamRecord = UpstreamRecord(
             listed,
             UpstreamHealth.UNKNOWN,
             persistentMapOf(),
@@ -121,6 +127,7 @@
             0,
             PrefillDelay.NONE,
             persistentMapOf(),
+            startNumber = startNumber,
         )
     }
 }
--- a/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/control/CrashEvidenceTest.kt
@@ -42,6 +42,13 @@
         report(upstream, listOf(request), sent) { before.suspects[it]?.crashes?.size ?: 0 }
     }
 
+    /** Reports the crash of a start of an upstream as a reporter that knew of no crash when it sent the request. */
+    fun reportStart(upstream: String, startedUnixMillis: Long, request: List<Fingerprint>) {
+        val suspects = request.map { LostRequest.Suspect(it, state.suspects[it]?.crashes?.size ?: 0) }
+        val lost = listOf(LostRequest(suspects))
+        apply(ControlCommand.ReportCrash(UpstreamId.parse(upstream), lost, startedUnixMillis))
+    }
+
     fun clear(fingerprint: Fingerprint) = apply(ControlCommand.ClearSuspects(listOf(fingerprint)))
 
     fun retryQuarantined() = state.quarantine.keys.forEach { apply(ControlCommand.RetryQuarantined(it)) }
@@ -73,6 +80,27 @@
 
 class CrashEvidenceTest :
     DescribeSpec({
+        describe("an upstream that crashes, starts again under its id and crashes again") {
+            // Guards against crashes of several starts that count as one, so that their cause is not quarantined.
+            it("crashes once a start, though the lost requests were sent before the crash before was known") {
+                val log = EvidenceLog()
+                (1L..3).forEach { log.reportStart("a", it, listOf(DEADLY)) }
+                with(log) { DEADLY.crashes } shouldBe 3
+                log.isRefused(listOf(DEADLY)) shouldBe true
+            }
+            it("crashes once, however often the crash of one start is reported") {
+                val log = EvidenceLog()
+                repeat(4) { log.reportStart("a", 1, listOf(DEADLY)) }
+                with(log) { DEADLY.crashes } shouldBe 1
+            }
+            it("crashes under other fingerprints in other starts, which explain different crashes") {
+                val log = EvidenceLog()
+                listOf("a", "b", "c").forEach { log.reportStart(it, 1, listOf(DEADLY)) }
+                listOf("a", "b", "c").forEach { log.reportStart(it, 2, listOf(SHARED)) }
+                log.isRefused(listOf(DEADLY)) shouldBe true
+                log.isRefused(listOf(SHARED)) shouldBe true
+            }
+        }
         describe("a fingerprint under which upstreams crash") {
             it("is quarantined at the third crash, each reported with knowledge of the one before") {
                 val log = EvidenceLog()
--- a/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/DispatcherTest.kt
@@ -432,14 +432,48 @@
 
         describe("an update of the upstreams") {
             it("keeps the record of an upstream, unless its address has changed") {
-                val first = upstream("reader-0", EngineStage.PREFILL)
+                val first = upstream("reader-0", EngineStage.PREFILL).copy(isCold = true)
                 val dispatcher = dispatcher(first)
                 dispatcher.recordStart(first.id, null, 10, 0)
-                dispatcher.updateUpstreams(listOf(first.copy(isCold = true)), readMillis = 1)
+                dispatcher.updateUpstreams(listOf(first.copy(isCold = false, slots = 7)), readMillis = 1)
                 dispatcher.recordOrNull(first.id)?.attempts?.size shouldBe 1
                 dispatcher.updateUpstreams(listOf(first.copy(address = "127.0.0.1:81")), readMillis = 2)
                 dispatcher.recordOrNull(first.id)?.attempts?.size shouldBe 0
             }
+            // Guards against what was observed of a start of an upstream and is held against the next one.
+            listOf<(ListedUpstream) -> ListedUpstream>(
+                { it.copy(startedUnixMillis = 2) },
+                { it.copy(startedUnixMillis = null, isCold = true) },
+            ).forEachIndexed { case, restart ->
+                it(
+                    "forgets all that was observed of an upstream when it has started again, and what comes late ($case)",
+                ) {
+                    val first = upstream("one").copy(startedUnixMillis = 1)
+                    val dispatcher = dispatcher(first)
+                    val early = dispatcher.recordStart(first.id, null, 0, 0)
+                    repeat(3) { dispatcher.recordStart(first.id, null, 0, 0) }
+                    dispatcher.recordRefusal(first.id, 60_000, 5)
+                    dispatcher.recordReceived(first.id, ReportedLoad(6, 20, 6), 5)
+                    val restarted = restart(first)
+                    dispatcher.updateUpstreams(listOf(restarted), readMillis = 10).restarted shouldBe listOf(restarted)
+                    val fresh = UpstreamRecord.fromListed(restarted, dispatcher.recordOrNull(first.id)!!.startNumber)
+                        .listedAgain(restarted)
+                    dispatcher.recordOrNull(first.id) shouldBe fresh
+                    dispatcher.hasRestartedSince(early) shouldBe true
+                    dispatcher.recordEnd(early, AttemptEnd.BROKEN, 15)
+                    dispatcher.recordOrNull(first.id) shouldBe fresh
+                    dispatcher.hasRestartedSince(dispatcher.recordStart(first.id, null, 0, 15)) shouldBe false
+                    dispatcher.updateUpstreams(listOf(restarted), readMillis = 20).restarted shouldBe emptyList()
+                }
+            }
+            // Guards against an answer of the start before that comes late and keeps requests away from the next one.
+            it("takes no announcement of a start before the one that is listed") {
+                val first = upstream("one").copy(startedUnixMillis = 1)
+                val dispatcher = dispatcher(first)
+                dispatcher.updateUpstreams(listOf(first.copy(startedUnixMillis = 2)), readMillis = 10)
+                dispatcher.recordLeaving(first, 20) shouldBe false
+                dispatcher.acceptsRequests(first.id) shouldBe true
+            }
             it("keeps an unlisted upstream until its attempts have ended, without placing more requests there") {
                 val gone = upstream("one")
                 val dispatcher = dispatcher(gone)
--- a/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
+++ b/core/src/test/kotlin/marigoldward/core/dispatch/LeavingUpstreamsTest.kt
@@ -122,6 +122,45 @@
             }
         }
 
+        describe("an upstream that has announced that it is leaving, in a directory that tells times of start") {
+            val started = READY.copy(startedUnixMillis = 1_000_000)
+            val again = READY.copy(startedUnixMillis = 1_004_000)
+
+            // Guards against an upstream that restarts under its id and address and is never used again.
+            it("has started again once the time of its start is another one, however recent its announcement is") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(started, 1_000)
+                leaving.isLeavingAfter(listOf(started), 1_100) shouldBe true
+                leaving.apply(listOf(again), 1_200).returned shouldBe listOf(again)
+                (again in leaving) shouldBe false
+            }
+            it("stays leaving while it is listed with the same time of start, also if it is cold") {
+                val leaving = LeavingUpstreams()
+                leaving.recordAnswer(started, 1_000)
+                leaving.isLeavingAfter(listOf(started.copy(isCold = true)), 1_600) shouldBe true
+                leaving.isLeavingAfter(listOf(READY), 2_200) shouldBe true
+                leaving.isLeavingAfter(listOf(started), 2_800) shouldBe true
+                leaving.isLeavingAfter(listOf(again), 3_400) shouldBe false
+            }
+        }
+
+        describe("an upstream that was listed as leaving, in a directory that tells no times of start") {
+            // Guards against an upstream that restarts warm and without an absence, and is never used again.
+            it("has started again once it was listed as ready for longer than lists can be old") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY.copy(isLeaving = true)), 0)
+                (600L..5_400 step 600).forEach { leaving.isLeavingAfter(listOf(READY), it) shouldBe true }
+                leaving.isLeavingAfter(listOf(READY), 6_000) shouldBe false
+            }
+            it("has not if a list between names it as leaving again") {
+                val leaving = LeavingUpstreams()
+                leaving.apply(listOf(READY.copy(isLeaving = true)), 0)
+                (600L..3_000 step 600).forEach { leaving.isLeavingAfter(listOf(READY), it) shouldBe true }
+                leaving.apply(listOf(READY.copy(isLeaving = true)), 3_600)
+                (4_200L..9_000 step 600).forEach { leaving.isLeavingAfter(listOf(READY), it) shouldBe true }
+            }
+        }
+
         describe("an upstream that was only missing from lists") {
             it("is usable once it is listed again") {
                 val leaving = LeavingUpstreams()
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -27,7 +27,6 @@
 import marigoldward.gateway.demand.MeasuredDemand
 import marigoldward.gateway.session.CrashSuspicions
 import marigoldward.gateway.session.Gateway
-import marigoldward.gateway.session.LeavingLog
 import marigoldward.gateway.session.SessionContext
 import marigoldward.gateway.upstream.UpstreamPool
 import marigoldward.gateway.usage.MeteredUsage
@@ -222,10 +221,7 @@
         val nowMillis = MonotonicClock.nowMillis()
         val heldAgeMillis = directoryBook.ageMillisOrNull(nowMillis)
         val isTaken = directoryBook.replaceUnlessOlder(reading.upstreams, reading.readMillis)
-        if (isTaken) {
-            val applied = dispatcher.updateUpstreams(reading.upstreams, reading.readMillis)
-            LeavingLog.listApplied(applied, nowMillis - reading.readMillis)
-        }
+        if (isTaken) context.updateUpstreams(reading.upstreams, reading.readMillis)
         // An unchanged list of control is only worth a line when it is no longer taken, or taken again.
         val isTakenAsBefore = source == null || isTaken == wasControlListTaken
         if (source != null) wasControlListTaken = isTaken
@@ -234,6 +230,7 @@
             field("source", source ?: "self")
             field("upstreams", reading.upstreams.size)
             field("leaving", reading.upstreams.filter { it.isLeaving }.joinToString(",") { it.id.text })
+            field("with_start", reading.upstreams.count { it.startedUnixMillis != null })
             field("age_ms", nowMillis - reading.readMillis)
             field("held_age_ms", heldAgeMillis)
         }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/CrashSuspicions.kt
@@ -16,12 +16,14 @@
  * Has no clock, thread or network connection of its own and is not thread-safe.
  */
 internal class CrashSuspicions {
+    private data class CrashedStart(val upstream: UpstreamId, val startedUnixMillis: Long?)
+
     private var version = -1L
     private var crashCounts: Map<Fingerprint, CrashCounts.Entry> = emptyMap()
     private val lastAnsweredMillis = object : LinkedHashMap<Fingerprint, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: Map.Entry<Fingerprint, Long>): Boolean = size > MAX_ANSWERED_PARTS
     }
-    private val pendingCrashes = LinkedHashMap<UpstreamId, MutableSet<LostRequest>>()
+    private val pendingCrashes = LinkedHashMap<CrashedStart, MutableSet<LostRequest>>()
     private val pendingAnswered = LinkedHashSet<Fingerprint>()
 
     /** Called when there is something to report. */
@@ -48,11 +50,17 @@
         fingerprints.mapNotNull { fingerprint -> crashCounts[fingerprint]?.let { fingerprint to it.crashes } }.toMap()
 
     /**
-     * Records that [upstream] crashed while it was answering a request with [fingerprints], which was sent when the
-     * crashes [knownWhenSent] were known.
+     * Records that [upstream], which had started at [startedUnixMillis] if that is known, crashed while it was answering a
+     * request with [fingerprints], which was sent when the crashes [knownWhenSent] were known.
      */
-    fun recordCrash(upstream: UpstreamId, fingerprints: List<Fingerprint>, knownWhenSent: Map<Fingerprint, Int>) {
-        val requests = pendingCrashes.getOrPut(upstream) { LinkedHashSet() }
+    fun recordCrash(
+        upstream: UpstreamId,
+        fingerprints: List<Fingerprint>,
+        knownWhenSent: Map<Fingerprint, Int>,
+        startedUnixMillis: Long? = null,
+    ) {
+        val crashed = CrashedStart(upstream, startedUnixMillis)
+        val requests = pendingCrashes.getOrPut(crashed) { LinkedHashSet() }
         val suspects = fingerprints.map { fingerprint ->
             val knownCrashes = crashCounts[fingerprint]?.crashes ?: 0
             LostRequest.Suspect(fingerprint, knownCrashes, knownWhenSent[fingerprint] ?: 0)
@@ -89,7 +97,9 @@
     /** Returns what is to be reported and forgets it, or returns null if there is nothing. */
     fun takeReportOrNull(): CrashReport? {
         if (pendingCrashes.isEmpty() && pendingAnswered.isEmpty()) return null
-        val crashes = pendingCrashes.map { (upstream, lost) -> CrashReport.UpstreamCrash(upstream, lost.toList()) }
+        val crashes = pendingCrashes.map { (crashed, lost) ->
+            CrashReport.UpstreamCrash(crashed.upstream, lost.toList(), crashed.startedUnixMillis)
+        }
         val report = CrashReport(crashes, pendingAnswered.toList())
         pendingCrashes.clear()
         pendingAnswered.clear()
@@ -98,7 +108,10 @@
 
     /** Takes back [report], which could not be delivered. */
     fun restore(report: CrashReport) {
-        report.crashes.forEach { pendingCrashes.getOrPut(it.upstream) { LinkedHashSet() }.addAll(it.requests) }
+        report.crashes.forEach { crash ->
+            val crashed = CrashedStart(crash.upstream, crash.startedUnixMillis)
+            pendingCrashes.getOrPut(crashed) { LinkedHashSet() }.addAll(crash.requests)
+        }
         pendingAnswered.addAll(report.answered.filter { it in crashCounts })
     }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/LeavingLog.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/LeavingLog.kt
@@ -4,7 +4,7 @@
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.support.log.EventLog
 
-/** Logs which upstreams get no more requests because they are leaving, and which are used again. */
+/** Logs which upstreams get no more requests because they are leaving, which are used again and which are new starts. */
 internal object LeavingLog {
     private val log = EventLog.fromName("upstream")
 
@@ -14,11 +14,21 @@
     /** Logs what has changed with [list], which was read [ageMillis] ago. */
     fun listApplied(list: LeavingUpstreams.AppliedList, ageMillis: Long) {
         list.left.forEach { logLeaving(it, "list", ageMillis) }
+        list.restarted.forEach { upstream ->
+            log.info("upstream_restarted") {
+                field("upstream", upstream.id)
+                field("address", upstream.address)
+                field("started", upstream.startedUnixMillis)
+                field("leaving", upstream.isLeaving)
+                field("age_ms", ageMillis)
+            }
+        }
         list.returned.forEach { upstream ->
             log.info("upstream_returned") {
                 field("upstream", upstream.id)
                 field("address", upstream.address)
                 field("cold", upstream.isCold)
+                field("started", upstream.startedUnixMillis)
                 field("age_ms", ageMillis)
             }
         }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Session.kt
@@ -116,7 +116,9 @@
      */
     protected fun recordCrash(attempt: UpstreamAttempt) {
         if (context.crashes.isUnclearedSuspect(request.fingerprints, context.nowMillis())) isRetryAllowed = false
-        context.crashes.recordCrash(attempt.upstream.id, request.fingerprints, attempt.knownCrashes)
+        val upstream = attempt.upstream
+        context.crashes
+            .recordCrash(upstream.id, request.fingerprints, attempt.knownCrashes, upstream.startedUnixMillis)
     }
 
     /** Returns the fingerprints of the request that are under suspicion now. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -105,6 +105,13 @@
         LeavingLog.announcedInAnswer(upstream)
     }
 
+    /** Replaces the list of upstreams by [upstreams], read at [readMillis], and forgets what starts before have shown. */
+    fun updateUpstreams(upstreams: List<ListedUpstream>, readMillis: Long) {
+        val applied = dispatcher.updateUpstreams(upstreams, readMillis)
+        applied.restarted.forEach { pool.forget(it.id) }
+        LeavingLog.listApplied(applied, nowMillis() - readMillis)
+    }
+
     /** Runs [action] on the event loop thread after [delayMillis], at once if that is negative. */
     fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
         loop.schedule(loggedTask(action), maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/StreamSession.kt
@@ -150,7 +150,7 @@
 
     /**
      * Fails the attempt if, before its answer begins, the engine sends nothing at all for [PROBE_AFTER_MILLIS] and accepts
-     * no connections: it has crashed or is cut off.
+     * no connections or has started again: it has crashed or is cut off.
      */
     private fun watchForSilence(attempt: UpstreamAttempt, delayMillis: Long = PROBE_AFTER_MILLIS) {
         scheduleUntilEnd(delayMillis) {
@@ -163,7 +163,8 @@
 
     private fun onProbed(attempt: UpstreamAttempt, isReachable: Boolean) {
         if (!isAwaited(attempt)) return
-        if (isReachable) watchForSilence(attempt) else ifSilent(attempt) { onSilent(attempt) }
+        val mayAnswer = isReachable && !attempt.hasUpstreamRestarted
+        if (mayAnswer) watchForSilence(attempt) else ifSilent(attempt) { onSilent(attempt) }
     }
 
     /** Runs [action] if the engine has been silent for [PROBE_AFTER_MILLIS], and watches on otherwise. */
@@ -174,7 +175,9 @@
 
     private fun onSilent(attempt: UpstreamAttempt) {
         attempt.cancel(AttemptEnd.SILENT, "nothing came for ${attempt.upstreamSilentMillis} ms")
-        context.dispatcher.recordUnreachable(attempt.upstream.id, context.nowMillis())
+        if (!attempt.hasUpstreamRestarted) {
+            context.dispatcher.recordUnreachable(attempt.upstream.id, context.nowMillis())
+        }
         if (attempt.upstream.stage == EngineStage.PREFILL) {
             onPrefillFailed(attempt, AttemptEnd.SILENT, "silent")
         } else {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -41,13 +41,17 @@
     var knownCrashes: Map<Fingerprint, Int> = emptyMap()
         private set
 
+    /** Whether the upstream has started again since the request was sent, so that it doesn't have the request. */
+    val hasUpstreamRestarted: Boolean get() = context.dispatcher.hasRestartedSince(attempt)
+
     /**
-     * The time since bytes were last received from the upstream, for any request, or since this request was sent, in
-     * milliseconds.
+     * The time since the start of the upstream that has the request last sent bytes, for any request, or since this
+     * request was sent, in milliseconds.
      */
     val upstreamSilentMillis: Long
         get() {
-            val lastMillis = context.dispatcher.recordOrNull(upstream.id)?.health?.lastReceivedMillis
+            val record = context.dispatcher.recordOrNull(upstream.id).takeUnless { hasUpstreamRestarted }
+            val lastMillis = if (record == null) lastReceivedMillis else record.health.lastReceivedMillis
             return context.nowMillis() - maxOf(attempt.startedMillis, lastMillis ?: attempt.startedMillis)
         }
 
@@ -110,7 +114,8 @@
         hasEnded = true
         val nowMillis = context.nowMillis()
         context.dispatcher.recordEnd(attempt, end, nowMillis, hasReceivedBytes)
-        if (end == AttemptEnd.SILENT || end == AttemptEnd.UNREACHABLE) context.pool.closeIdle(upstream.id)
+        val mayBeDead = end == AttemptEnd.SILENT || end == AttemptEnd.UNREACHABLE
+        if (mayBeDead && !hasUpstreamRestarted) context.pool.closeIdle(upstream.id)
         SessionLog.attemptEnded(request, attempt, end, reason, nowMillis)
     }
 
@@ -142,8 +147,10 @@
             val nowMillis = context.nowMillis()
             lastReceivedMillis = nowMillis
             hasReceivedBytes = true
-            context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
-            metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
+            if (!hasUpstreamRestarted) {
+                context.dispatcher.recordReceived(upstream.id, metadata.load, nowMillis)
+                metadata.refusesForMillis?.let { recordRefusal(it, nowMillis) }
+            }
             context.recordAnnouncement(upstream, reported)
             listener.onHead(head, metadata)
         }
@@ -152,7 +159,7 @@
             val nowMillis = context.nowMillis()
             lastReceivedMillis = nowMillis
             hasReceivedBytes = true
-            context.dispatcher.recordReceived(upstream.id, null, nowMillis)
+            if (!hasUpstreamRestarted) context.dispatcher.recordReceived(upstream.id, null, nowMillis)
             listener.onData(data)
         }
 
--- a/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/upstream/UpstreamPool.kt
@@ -108,6 +108,13 @@
         idle.remove(id)?.forEach(UpstreamConnection::close)
     }
 
+    /** Closes the idle connections to [id] and forgets what it has shown, as it has started again. */
+    fun forget(id: UpstreamId) {
+        closeIdle(id)
+        upstreamsWithoutIds.remove(id)
+        reachedMillis.remove(id)
+    }
+
     private fun idleOrNull(call: UpstreamCall): UpstreamConnection? {
         val connections = idle[call.upstream.id] ?: return null
         val nowMillis = MonotonicClock.nowMillis()
--- a/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/TestGateway.kt
@@ -97,7 +97,7 @@
 
     /** Replaces the list of upstreams, as read now. */
     fun updateUpstreams(list: List<ListedUpstream>) {
-        dispatcher.updateUpstreams(list, MonotonicClock.nowMillis())
+        context.updateUpstreams(list, MonotonicClock.nowMillis())
     }
 
     /** Shuts the gateway down within [gracePeriodMillis]; the connections that are open then are reset, as at an exit. */
--- a/wire/src/main/kotlin/marigoldward/wire/feed/CrashReport.kt
+++ b/wire/src/main/kotlin/marigoldward/wire/feed/CrashReport.kt
@@ -13,7 +13,16 @@
  */
 @Serializable
 public data class CrashReport(val crashes: List<UpstreamCrash>, val answered: List<Fingerprint>) {
-    /** The crash of [upstream] while it was answering [requests]. */
+    /**
+     * The crash of [upstream] while it was answering [requests].
+     *
+     * @property startedUnixMillis when the upstream had started, in milliseconds of Unix time, as the directory told the
+     *   entry when it sent the requests, or null if it didn't
+     */
     @Serializable
-    public data class UpstreamCrash(val upstream: UpstreamId, val requests: List<LostRequest>)
+    public data class UpstreamCrash(
+        val upstream: UpstreamId,
+        val requests: List<LostRequest>,
+        val startedUnixMillis: Long? = null,
+    )
 }
