--- a/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/capacity/CapacityDuty.kt
@@ -89,6 +89,7 @@
         val nowMillis = MonotonicClock.nowMillis()
         val serving = upstreams
             .filter { it.service == service }
+            .distinctBy { it.id }
             .groupBy { it.dataCentre }
             .mapValues { (_, engines) ->
                 val (reclaimable, regular) = engines.filterNot { it.isLeaving }.partition { it.isReclaimable }
--- a/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
+++ b/control/src/main/kotlin/marigoldward/control/stages/StageDuty.kt
@@ -2,6 +2,7 @@
 
 import marigoldward.control.replica.LeaderTerm
 import marigoldward.core.Outcome
+import marigoldward.core.dispatch.DuplicateEntries
 import marigoldward.core.dispatch.EngineStatus
 import marigoldward.core.dispatch.LeavingUpstreams
 import marigoldward.core.dispatch.ListedUpstream
@@ -37,11 +38,17 @@
 ) : AutoCloseable {
     private data object Poll
 
-    private val planners = HashMap<PoolName, StagePlanner>()
-    private val blockedUntilMillis = HashMap<UpstreamId, Long>()
-    private val unreachable = HashSet<UpstreamId>()
-    private val leavingUpstreams = LeavingUpstreams()
-    private val starts = EngineStarts()
+    /** What is known of the engines of one service. Entries of other services may give the same ids. */
+    private class ServiceState {
+        var planner: StagePlanner = StagePlanner.INITIAL
+        val duplicateEntries = DuplicateEntries()
+        val leavingUpstreams = LeavingUpstreams()
+        val starts = EngineStarts()
+        val blockedUntilMillis = HashMap<UpstreamId, Long>()
+        val unreachable = HashSet<UpstreamId>()
+    }
+
+    private val states = HashMap<PoolName, ServiceState>()
 
     /** The token of the term in which this replica was last found to lead. */
     private var token = FencingToken.NONE
@@ -61,35 +68,36 @@
         val current = leaderTerm.tokenOrNull() ?: return
         if (current != token) {
             token = current
-            planners.clear()
+            states.values.forEach { it.planner = StagePlanner.INITIAL }
         }
         if (token == staleToken) return
         val reading = directory() ?: return
         val scaled = scaledServices()
-        reading.upstreams.forEach { recordStart(it, "list") }
-        starts.retain(reading.upstreams.mapTo(HashSet()) { it.id })
-        leavingUpstreams
-            .apply(reading.upstreams, reading.readMillis)
-            .upstreams
-            .filter { it.stage != null && !it.isLeaving }
-            .groupBy { it.service }
-            .forEach { (service, engines) -> plan(service, engines, service in scaled) }
+        val listed = reading.upstreams.filter { it.stage != null }.groupBy { it.service }
+        (states.keys + listed.keys).forEach { service ->
+            val state = states.getOrPut(service) { ServiceState() }
+            val engines = state.duplicateEntries.resolve(listed[service].orEmpty()) { true }
+            engines.forEach { state.recordStart(it, "list") }
+            state.starts.retain(engines.mapTo(HashSet()) { it.id })
+            val applied = state.leavingUpstreams.apply(engines, reading.readMillis)
+            val staying = applied.upstreams.filterNot { it.isLeaving }
+            if (staying.isNotEmpty()) state.plan(staying, service in scaled)
+        }
     }
 
-    private fun plan(service: PoolName, serviceEngines: List<ListedUpstream>, isScaled: Boolean) {
+    private fun ServiceState.plan(serviceEngines: List<ListedUpstream>, isScaled: Boolean) {
         // One without an answer to its last order gets no other one now, so it is not chosen instead of one that would.
         val nowMillis = MonotonicClock.nowMillis()
         val candidates = if (isScaled) serviceEngines.filter { !isBlocked(it, nowMillis) } else serviceEngines
-        val statuses = candidates.mapNotNull(::statusOrNull)
+        val statuses = candidates.mapNotNull { statusOrNull(it) }
         val stayingCount = candidates.count { it !in leavingUpstreams }
-        val planner = planners[service] ?: StagePlanner.INITIAL
         val step = planner.observe(statuses, stayingCount, MonotonicClock.nowMillis(), isScaled)
-        planners[service] = step.planner
-        step.changes.forEach { order(it, step.planner) }
+        planner = step.planner
+        step.changes.forEach { order(it) }
     }
 
     /** Returns the status of [engine], or null if it could not be read or the engine is leaving. */
-    private fun statusOrNull(engine: ListedUpstream): EngineStatus? {
+    private fun ServiceState.statusOrNull(engine: ListedUpstream): EngineStatus? {
         val reply = readStatus(engine)
         if (reply.isLeaving) recordLeaving(engine, "report")
         return when (val read = reply.result) {
@@ -110,7 +118,7 @@
         }
     }
 
-    private fun recordStart(engine: ListedUpstream, source: String) {
+    private fun ServiceState.recordStart(engine: ListedUpstream, source: String) {
         if (!starts.record(engine)) return
         val wasBlocked = blockedUntilMillis.remove(engine.id) != null
         unreachable.remove(engine.id)
@@ -123,7 +131,7 @@
         }
     }
 
-    private fun recordLeaving(engine: ListedUpstream, source: String) {
+    private fun ServiceState.recordLeaving(engine: ListedUpstream, source: String) {
         if (!leavingUpstreams.recordAnswer(engine, MonotonicClock.nowMillis())) return
         log.info("upstream_leaving") {
             field("upstream", engine.id)
@@ -133,10 +141,10 @@
         }
     }
 
-    private fun isBlocked(engine: ListedUpstream, nowMillis: Long): Boolean =
+    private fun ServiceState.isBlocked(engine: ListedUpstream, nowMillis: Long): Boolean =
         nowMillis < (blockedUntilMillis[engine.id] ?: 0)
 
-    private fun order(change: StageChange, planner: StagePlanner) {
+    private fun ServiceState.order(change: StageChange) {
         val status = change.status
         if (isBlocked(status.engine, MonotonicClock.nowMillis())) return
         if (leaderTerm.tokenOrNull() != token) return
@@ -172,7 +180,7 @@
         EngineControl.Reply(EngineControl.OrderResult.Unknown(failure.toString()), isLeaving = false)
     }
 
-    private fun recordResult(status: EngineStatus, result: EngineControl.OrderResult) {
+    private fun ServiceState.recordResult(status: EngineStatus, result: EngineControl.OrderResult) {
         when (result) {
             is EngineControl.OrderResult.Unknown ->
                 blockedUntilMillis[status.engine.id] = MonotonicClock.nowMillis() + ORDER_LIFETIME_MILLIS
--- a/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/GatewayProgram.kt
@@ -245,6 +245,7 @@
             is RouteSelection.Selection.Selected -> {
                 val configuration = selection.configuration
                 gateway.configuration = configuration
+                directoryBook.reading?.let { context.updateUpstreams(it.upstreams, it.readMillis) }
                 exchange.maintain()
                 GatewayMetrics.routesVersion.set(configuration.version.toDouble())
                 log.info("configuration_applied") {
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/Gateway.kt
@@ -27,6 +27,7 @@
         set(value) {
             field = value
             context.shutdownAdmission.retainRoutes(value?.routes.orEmpty().mapTo(HashSet()) { it.name })
+            context.declaredServices = value?.services?.keys.orEmpty()
         }
 
     /** When the requests in progress are ended, in milliseconds of monotonic time, or null if no shutdown has begun. */
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/SessionContext.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
 import marigoldward.core.dispatch.Dispatcher
+import marigoldward.core.dispatch.DuplicateEntries
 import marigoldward.core.dispatch.ListedUpstream
 import marigoldward.core.dispatch.LongPromptGate
 import marigoldward.core.dispatch.RetryBudgetShare
@@ -43,6 +44,12 @@
     private val longPromptGates = HashMap<PoolName, LongPromptGate<LongPromptAdmission>>()
     private val retryBudgets = HashMap<PoolName, RetryBudgetShare>()
 
+    /** Decides between entries of the list of upstreams that give the same id. */
+    val duplicateEntries = DuplicateEntries()
+
+    /** The services of the configuration in force. */
+    var declaredServices: Set<PoolName> = emptySet()
+
     /** The number of gateways that share the upstreams, including this one, as last reported. */
     var gatewayCount: Int by dispatcher::gatewayCount
 
@@ -107,7 +114,8 @@
 
     /** Replaces the list of upstreams by [upstreams], read at [readMillis], and forgets what starts before have shown. */
     fun updateUpstreams(upstreams: List<ListedUpstream>, readMillis: Long) {
-        val applied = dispatcher.updateUpstreams(upstreams, readMillis)
+        val resolved = duplicateEntries.resolve(upstreams) { it in declaredServices }
+        val applied = dispatcher.updateUpstreams(resolved, readMillis)
         applied.restarted.forEach { pool.forget(it.id) }
         LeavingLog.listApplied(applied, nowMillis() - readMillis)
     }
--- a/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/session/UpstreamAttempt.kt
@@ -116,6 +116,9 @@
         context.dispatcher.recordEnd(attempt, end, nowMillis, hasReceivedBytes)
         val mayBeDead = end == AttemptEnd.SILENT || end == AttemptEnd.UNREACHABLE
         if (mayBeDead && !hasUpstreamRestarted) context.pool.closeIdle(upstream.id)
+        if (end == AttemptEnd.UNREACHABLE || end == AttemptEnd.MISDIRECTED) {
+            context.duplicateEntries.recordNotFound(upstream.id, upstream.address)
+        }
         SessionLog.attemptEnded(request, attempt, end, reason, nowMillis)
     }
 
