Refuse messages with malformed lines instead of forwarding them

Callers saw: an engine in trouble sent a head in which the name of a field held a blank or a control byte.

Cause: the decoder of answers cuts a name at its first blank and keeps control bytes, as its validation is switched off; a length or an encoding with such a name changes where the body ends. Folded values and control bytes in the sizes of chunks of requests were forwarded too, and the HTTP client of control takes any name.

MessageLines checks the lines that the decoders consume: heads, interim heads, lines before chunks, trailers.

--- a/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/caller/RequestDecoder.kt
@@ -8,13 +8,18 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
 import marigoldward.core.routes.CallerLimits
+import marigoldward.gateway.message.MessageLines
+import marigoldward.support.http.HttpGrammar
 
 /**
- * Decodes HTTP requests; rejects those whose end is ambiguous.
+ * Decodes HTTP requests; rejects those whose end is ambiguous or that have a malformed line.
  *
  * It takes the memory of a head before it decodes it, and holds it until [takeHeadBytes] is called. What there is no
  * memory for is passed on as a failure, [Refusal], and nothing is decoded after it.
@@ -37,6 +42,8 @@
     private var isInHead = true
     private var isRefused = false
     private var scan = HeadScan()
+    private val lines = MessageLines(HttpGrammar::requestLineProblemOrNull)
+    private var isChunked = false
 
     /** The number of bytes, from the reader index on, that [scan] has counted. */
     private var countedBytes = 0
@@ -82,9 +89,14 @@
         val firstIndex = buffer.readerIndex()
         val decodedCount = out.size
         super.decode(context, buffer, out)
+        val problem = lines.problemOrNull(buffer, firstIndex, buffer.readerIndex())
+        if (problem != null) return reject(problem, buffer, out, decodedCount)
         if (out.size > decodedCount) {
             hasBegunRequest = out.last() !is LastHttpContent
             isInHead = !hasBegunRequest
+            val head = out[decodedCount]
+            isChunked = head is HttpMessage && HttpUtil.isTransferEncodingChunked(head)
+            if (isChunked && !isInHead) lines.beginChunks()
             scan = HeadScan()
             countedBytes = 0
         } else {
@@ -97,6 +109,8 @@
         val firstIndex = buffer.readerIndex()
         val decodedCount = out.size
         super.decode(context, buffer, out)
+        val problem = if (isChunked) lines.problemOrNull(buffer, firstIndex, buffer.readerIndex()) else null
+        if (problem != null) return reject(problem, buffer, out, decodedCount)
         if (out.size > decodedCount) {
             memory.releaseHead(takeHeadBytes())
             hasBegunRequest = out.last() !is LastHttpContent
@@ -128,11 +142,23 @@
 
     private fun tryHold(bytes: Long): Boolean = memory.tryHoldHead(bytes).also { if (it) headBytes += bytes }
 
-    private fun refuse(refusal: Refusal, buffer: ByteBuf, out: MutableList<Any>) {
+    private fun refuse(refusal: Refusal, buffer: ByteBuf, out: MutableList<Any>) =
+        fail(RefusedException(refusal), buffer, out)
+
+    /** Fails the request with a malformed line; what was decoded with it, from [decodedCount] on, is not passed on. */
+    private fun reject(problem: String, buffer: ByteBuf, out: MutableList<Any>, decodedCount: Int) {
+        val decoded = out.subList(decodedCount, out.size)
+        val failure = decoded.firstNotNullOfOrNull { (it as HttpObject).decoderResult().cause() }
+        decoded.forEach(ReferenceCountUtil::release)
+        decoded.clear()
+        fail(failure ?: IllegalArgumentException(problem), buffer, out)
+    }
+
+    private fun fail(cause: Throwable, buffer: ByteBuf, out: MutableList<Any>) {
         isRefused = true
         buffer.skipBytes(buffer.readableBytes())
         val refused = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/")
-        refused.setDecoderResult(DecoderResult.failure(RefusedException(refusal)))
+        refused.setDecoderResult(DecoderResult.failure(cause))
         out.add(refused)
     }
 
