Keep no space for long lines on idle connections

A connection kept the space of the longest line that it had checked; with thousands of idle connections that adds up beside the bounds of RequestMemory.

--- a/gateway/src/main/kotlin/marigoldward/gateway/message/MessageLines.kt
+++ b/gateway/src/main/kotlin/marigoldward/gateway/message/MessageLines.kt
@@ -13,7 +13,7 @@
     private enum class Part { START, FIELDS, CHUNK_SIZE }
 
     private var part = Part.START
-    private val line = StringBuilder()
+    private var line = StringBuilder()
 
     /** The bytes of the chunk that are still to come. */
     private var chunkBytes = 0L
@@ -42,7 +42,8 @@
 
     private fun endLine(): String? {
         val text = line.removeSuffix("\r").toString()
-        line.setLength(0)
+        // An idle connection keeps no space for the longest line that it has had.
+        if (line.capacity() > MAX_KEPT_CHARACTERS) line = StringBuilder() else line.setLength(0)
         return when (part) {
             // Empty lines may stand before a message.
             Part.START -> if (text.isEmpty()) null else startLineProblemOrNull(text).also { part = Part.FIELDS }
@@ -67,5 +68,6 @@
 
     private companion object {
         const val BYTE_MASK = 0xff
+        const val MAX_KEPT_CHARACTERS = 256
     }
 }
