--- a/gateway/src/test/kotlin/marigoldward/gateway/caller/MalformedRequestTest.kt
+++ b/gateway/src/test/kotlin/marigoldward/gateway/caller/MalformedRequestTest.kt
@@ -42,7 +42,8 @@
                     TestGateway(listOf(upstream.address to null)).use { gateway ->
                         gateway.caller().use { caller ->
                             repeat(2) {
-                                caller.send("${HEAD}Transfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0\r\nX-T: 1\r\n\r\n")
+                                val head = "${HEAD}Transfer-Encoding: chunked\r\n\r\n"
+                                caller.send("${head}2;a=b\r\n{}\r\n0\r\nX-T: 1\r\n\r\n")
                                 caller.readResponse()?.status shouldBe 200
                             }
                         }
--- a/support/src/test/kotlin/marigoldward/support/json/JsonListReaderTest.kt
+++ b/support/src/test/kotlin/marigoldward/support/json/JsonListReaderTest.kt
@@ -84,7 +84,8 @@
         }
         describe("a page") {
             it("may have fields before and after the list, and white space anywhere") {
-                val text = """ { "x" : [ {"list":[1]} , "]}" ] , "list" : [ ${SOUND[0]} , ${SOUND[1]} ] , "y" : [ 2 ] } """
+                val list = """[ ${SOUND[0]} , ${SOUND[1]} ]"""
+                val text = """ { "x" : [ {"list":[1]} , "]}" ] , "list" : $list , "y" : [ 2 ] } """
                 val page = read(text).shouldNotBeNull()
                 page.entries shouldBe listOf("a", "b")
                 page.unreadableEntries shouldBe 0
